--- /dev/null
+++ b/src/main/kotlin/glenspool/api/WorkerApi.kt
@@ -0,0 +1,61 @@
+package glenspool.api
+
+import glenspool.config.Settings
+import glenspool.controller.CoreLoop
+import glenspool.controller.Node
+import glenspool.core.model.Command
+import glenspool.core.model.Report
+import glenspool.core.model.StopTask
+import glenspool.core.model.TaskState
+import glenspool.http.bounded
+import glenspool.http.cbor
+import glenspool.state.Keys
+import glenspool.wire.Cbor
+import glenspool.wire.MalformedMessage
+import glenspool.wire.WorkerWire
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** Takes workers' reports: the leader answers with orders, another node names the leader or keeps the lease. */
+class WorkerApi(private val settings: Settings, private val node: Node, private val loop: CoreLoop) : HttpHandler {
+    private val started = TimeSource.Monotonic.markNow()
+
+    override fun invoke(request: Request): Response {
+        if (request.method != Method.POST) return cbor(Status.METHOD_NOT_ALLOWED, emptyMap())
+        val bytes = request.body.bounded() ?: return cbor(Status.BAD_REQUEST, mapOf("error" to "the body is too long"))
+        val report = try {
+            WorkerWire.decodeReport(Cbor.decodeMap(bytes))
+        } catch (e: MalformedMessage) {
+            log.warn("report not understood: {}", e.message)
+            return cbor(Status.BAD_REQUEST, mapOf("error" to (e.message ?: "malformed")))
+        }
+        loop.report(report)?.let { return cbor(Status.OK, WorkerWire.answer(it.token, it.commands)) }
+        node.leaderToName()?.let { return cbor(MISDIRECTED, WorkerWire.redirect(it)) }
+        if (!mayHold()) return cbor(Status.SERVICE_UNAVAILABLE, emptyMap())
+        // Nobody is known to lead. Answering with the worker's own token starts nothing and keeps its tasks alive.
+        return cbor(Status.OK, WorkerWire.answer(report.token, stopsOfCancelled(report)))
+    }
+
+    /**
+     * A node that has never read the state knows of no cancellations. It must not keep tasks alive past the
+     * time in which a job cancelled just before it started has to be gone.
+     */
+    private fun mayHold(): Boolean = node.replica.age() != null || started.elapsedNow() < settings.workers.cancel - settings.workers.lease - 3.seconds
+
+    /** A cancelled job stays cancelled, so any node may have its tasks stopped, with whatever token is in force. */
+    private fun stopsOfCancelled(r: Report): List<Command> = r.tasks
+        .filter { it.state != TaskState.EXITED && node.replica.get(Keys.cancel(it.key.job)) != null }
+        .map { StopTask(it.key, it.attempt, Duration.ZERO) }
+
+    companion object {
+        private val log = LoggerFactory.getLogger(WorkerApi::class.java)
+        private val MISDIRECTED = Status(421, "Misdirected Request")
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/glenspool/cli/Main.kt
@@ -0,0 +1,85 @@
+package glenspool.cli
+
+import glenspool.config.SettingsError
+import glenspool.config.SettingsReader
+import glenspool.controller.Node
+import glenspool.core.Tuning
+import glenspool.http.HttpListener
+import org.apache.commons.cli.DefaultParser
+import org.apache.commons.cli.Option
+import org.apache.commons.cli.Options
+import org.apache.commons.cli.ParseException
+import java.io.File
+import kotlin.system.exitProcess
+
+private const val USAGE = """usage: glenspool COMMAND [OPTIONS]
+
+  serve --config FILE [--script FILE]          run a controller until it is killed
+  check-config FILE [--script FILE]            check a settings file, and a tuning script
+  job submit --node ADDR FILE                  submit a job described in a JSON file
+  job show --node ADDR ID                      show a job
+  job withdraw --node ADDR ID                  cancel a job
+  --version, --help
+
+The log goes to standard error; LOG_LEVEL is error, info or debug."""
+
+/** The command line was wrong. */
+class UsageError(message: String) : Exception(message)
+
+fun main(args: Array<String>) {
+    // Must be set before the first logger exists.
+    val level = System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "warn", "info", "debug", "trace") } ?: "info"
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
+    System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true")
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
+    exitProcess(
+        try {
+            command(args.toList())
+        } catch (e: UsageError) {
+            System.err.println("glenspool: ${e.message}")
+            System.err.println("Try 'glenspool --help'.")
+            2
+        } catch (e: ParseException) {
+            System.err.println("glenspool: ${e.message}")
+            System.err.println("Try 'glenspool --help'.")
+            2
+        } catch (e: SettingsError) {
+            e.problems.forEach { System.err.println("glenspool: $it") }
+            1
+        },
+    )
+}
+
+private fun command(args: List<String>): Int {
+    when (args.firstOrNull()) {
+        null -> throw UsageError("a command is needed")
+        "--help", "-h" -> println(USAGE)
+        "--version" -> println("glenspool ${Tuning::class.java.`package`.implementationVersion ?: "development"}")
+        "serve" -> return serve(args.drop(1))
+        "check-config" -> return checkConfig(args.drop(1))
+        else -> throw UsageError("unknown command '${args.first()}'")
+    }
+    return 0
+}
+
+private fun serve(args: List<String>): Int {
+    val options = Options().addOption(Option.builder().longOpt("config").hasArg().required().build())
+        .addOption(Option.builder().longOpt("script").hasArg().build())
+    val line = DefaultParser().parse(options, args.toTypedArray())
+    if (line.argList.isNotEmpty()) throw UsageError("unexpected argument '${line.argList.first()}'")
+    val settings = SettingsReader().read(File(line.getOptionValue("config")))
+    HttpListener.configure(settings.maxSockets)
+    val node = Node(settings, Tuning())
+    Runtime.getRuntime().addShutdownHook(Thread { node.close() })
+    node.start()
+    node.join()
+    return 0
+}
+
+private fun checkConfig(args: List<String>): Int {
+    val line = DefaultParser().parse(Options().addOption(Option.builder().longOpt("script").hasArg().build()), args.toTypedArray())
+    val file = line.argList.singleOrNull() ?: throw UsageError("check-config needs one FILE")
+    SettingsReader().read(File(file))
+    println("$file: good")
+    return 0
+}
--- /dev/null
+++ b/src/main/kotlin/glenspool/config/Settings.kt
@@ -0,0 +1,143 @@
+package glenspool.config
+
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.dataformat.toml.TomlMapper
+import glenspool.core.model.Objective
+import glenspool.core.model.Team
+import java.io.File
+import java.net.InetSocketAddress
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Another controller of the service. */
+data class Member(val name: String, val zone: String, val addr: InetSocketAddress)
+
+data class WorkerSettings(
+    val report: Duration,
+    val lease: Duration,
+    val gangWait: Duration,
+    val gangPeer: Duration,
+    val cancel: Duration,
+)
+
+data class StateSettings(val rps: Double, val writeRps: Double, val valueBytes: Int, val txnOps: Int)
+
+data class CloudSettings(val rps: Double, val listLag: Duration)
+
+/** Everything that the platform's file says, checked. */
+data class Settings(
+    val node: String,
+    val zone: String,
+    val apiAddr: InetSocketAddress,
+    val internalAddr: InetSocketAddress,
+    val members: List<Member>,
+    val cloud: InetSocketAddress,
+    val state: InetSocketAddress,
+    val zones: List<String>,
+    val clockBound: Duration,
+    val teams: List<Team>,
+    val objectives: List<Objective>,
+    val workers: WorkerSettings,
+    val stateLimits: StateSettings,
+    val cloudLimits: CloudSettings,
+    val maxSockets: Int,
+)
+
+/** The settings can't be used; [problems] names each fault by its path. */
+class SettingsError(val problems: List<String>) : Exception(problems.joinToString("; "))
+
+/** Reads the platform's TOML file. All faults are gathered, so that an operator sees them at once. */
+class SettingsReader {
+    private val problems = mutableListOf<String>()
+
+    fun read(file: File): Settings {
+        val root = try {
+            TomlMapper().readTree(file)
+        } catch (e: java.io.IOException) {
+            throw SettingsError(listOf("${file.path}: ${e.message}"))
+        }
+        val settings = parse(root)
+        if (problems.isNotEmpty()) throw SettingsError(problems)
+        return settings
+    }
+
+    private fun parse(root: JsonNode): Settings {
+        val s = "settings"
+        val params = root.path(s)
+        val w = params.path("workers")
+        val st = params.path("state")
+        val cl = params.path("cloud")
+        return Settings(
+            node = text(root, "host_name", ""),
+            zone = text(root, "location", ""),
+            apiAddr = addr(root, "api_addr", ""),
+            internalAddr = addr(root, "internal_addr", ""),
+            members = root.path("members").mapIndexed { i, m ->
+                Member(text(m, "host_name", "members[$i]."), text(m, "location", "members[$i]."), addr(m, "addr", "members[$i]."))
+            },
+            cloud = addr(root.path("outside"), "cloud", "outside."),
+            state = addr(root.path("outside"), "state", "outside."),
+            zones = params.path("zones").map { it.asText() }.also { if (it.isEmpty()) problems += "$s.zones: at least one zone is needed" },
+            clockBound = (params.path("skew_ms").asDouble(0.0)).milliseconds,
+            teams = params.path("teams").mapIndexed { i, t -> team(t, "$s.teams[$i].") },
+            objectives = params.path("objectives").mapIndexed { i, o ->
+                Objective(
+                    text(o, "kind", "$s.objectives[$i]."),
+                    o.path("class").textValue(),
+                    if (o.path("within_s").isNumber) o.path("within_s").asDouble().seconds else null,
+                    o.path("share").asDouble(0.0),
+                )
+            },
+            workers = WorkerSettings(
+                seconds(w, "report_s", "$s.workers."),
+                seconds(w, "lease_s", "$s.workers."),
+                seconds(w, "gang_wait_s", "$s.workers."),
+                seconds(w, "gang_peer_s", "$s.workers."),
+                seconds(w, "cancel_s", "$s.workers."),
+            ),
+            stateLimits = StateSettings(
+                number(st, "rps", "$s.state."),
+                number(st, "write_rps", "$s.state."),
+                (number(st, "value_kb", "$s.state.") * 1024).toInt(),
+                number(st, "txn_ops", "$s.state.").toInt(),
+            ),
+            cloudLimits = CloudSettings(number(cl, "rps", "$s.cloud."), seconds(cl, "list_lag_s", "$s.cloud.")),
+            maxSockets = params.path("quota").path("fd_limit").asInt(1024),
+        )
+    }
+
+    private fun team(t: JsonNode, path: String): Team {
+        fun max(name: String) = number(t, name, path, min = 0.0).takeIf { it > 0.0 }
+        return Team(text(t, "name", path), number(t, "cpus", path, 0.0), number(t, "gpus", path, 0.0), max("cpus_max"), max("gpus_max"))
+    }
+
+    private fun text(n: JsonNode, name: String, path: String): String {
+        val v = n.path(name)
+        if (!v.isTextual || v.asText().isEmpty()) problems += "$path$name: a text is needed"
+        return v.asText("")
+    }
+
+    private fun number(n: JsonNode, name: String, path: String, min: Double = Double.MIN_VALUE): Double {
+        val v = n.path(name)
+        val d = v.asDouble(Double.NaN)
+        if (!v.isNumber || !d.isFinite() || d < min) {
+            problems += "$path$name: a number ${if (min == 0.0) "of 0 or more" else "above 0"} is needed"
+            return 1.0
+        }
+        return d
+    }
+
+    private fun seconds(n: JsonNode, name: String, path: String): Duration = number(n, name, path).seconds
+
+    private fun addr(n: JsonNode, name: String, path: String): InetSocketAddress {
+        val v = n.path(name).asText("")
+        val port = v.substringAfterLast(':', "").toIntOrNull()
+        val host = v.substringBeforeLast(':', "")
+        if (port == null || port !in 0..65535 || host.isEmpty()) {
+            problems += "$path$name: an address of the form 10.0.0.1:8080 is needed"
+            return InetSocketAddress.createUnresolved("invalid", 0)
+        }
+        return InetSocketAddress(host, port)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -0,0 +1,399 @@
+package glenspool.controller
+
+import glenspool.cloud.CloudClient
+import glenspool.cloud.RentOutcome
+import glenspool.config.Settings
+import glenspool.core.Action
+import glenspool.core.Delete
+import glenspool.core.Direct
+import glenspool.core.DirectOutcome
+import glenspool.core.FinishJob
+import glenspool.core.Probe
+import glenspool.core.RaiseToken
+import glenspool.core.Rent
+import glenspool.core.SaveJob
+import glenspool.core.Scheduler
+import glenspool.core.SchedulerConfig
+import glenspool.core.Store
+import glenspool.core.StoreOutcome
+import glenspool.core.Tuning
+import glenspool.core.model.Command
+import glenspool.core.model.JobRecord
+import glenspool.core.model.ListedMachine
+import glenspool.core.model.MachineType
+import glenspool.core.model.Report
+import glenspool.state.Keys
+import glenspool.state.Put
+import glenspool.state.Replica
+import glenspool.state.StateClient
+import glenspool.state.StateResult
+import glenspool.wire.CloudWire
+import glenspool.wire.Fields
+import glenspool.wire.MalformedMessage
+import glenspool.wire.RecordWire
+import glenspool.wire.StateWire
+import glenspool.wire.count
+import glenspool.worker.WorkerClient
+import org.slf4j.LoggerFactory
+import java.util.BitSet
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.SynchronousQueue
+import java.util.concurrent.ThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** What worker answers look like: the token they carry and the orders. */
+data class Orders(val token: Long, val commands: List<Command>)
+
+/** Everything that reaches the core. */
+sealed interface Event {
+    data class Elected(val term: Term) : Event
+
+    data object Deposed : Event
+
+    data class Changes(val changes: List<StateWire.Change>) : Event
+
+    data class Reported(val report: Report, val answer: CompletableFuture<Orders?>) : Event
+
+    data class DirectEnded(val sent: Direct, val outcome: DirectOutcome, val report: Report?) : Event
+
+    data class Probed(val machine: String, val report: Report?) : Event
+
+    data class Listed(val list: List<ListedMachine>) : Event
+
+    data class Types(val list: List<MachineType>) : Event
+
+    data class RentEnded(val request: Rent, val outcome: RentOutcome) : Event
+
+    data class DeleteEnded(val machines: List<String>, val ok: Boolean) : Event
+
+    data class Stored(val outcome: StoreOutcome, val term: Term) : Event
+
+    data class Raised(val token: Long?) : Event
+}
+
+/**
+ * Owns the core: one thread takes events from one queue, steps the [Scheduler] and hands its actions to the
+ * adapters' threads. Nothing that a rule depends on leaves here while the leadership is not certain.
+ */
+class CoreLoop(
+    private val settings: Settings,
+    private val tuning: Tuning,
+    private val replica: Replica,
+    private val leadership: Leadership,
+    private val state: StateClient,
+    private val cloud: CloudClient,
+    private val workers: WorkerClient,
+) : AutoCloseable {
+    private class Session(val term: Term, val scheduler: Scheduler)
+
+    private val queue = LinkedBlockingQueue<Event>(QUEUE)
+    private val clock = TimeSource.Monotonic.markNow()
+    private var session: Session? = null
+    private var wasValid = false
+    private val writes = ArrayBlockingQueue<Pair<Term, Store>>(4)
+
+    @Volatile
+    var types: List<MachineType>? = null
+
+    private val pool = ThreadPoolExecutor(2, 40, 10, TimeUnit.SECONDS, SynchronousQueue()) { r -> Thread(null, r, "call", 192L * 1024).also { it.isDaemon = true } }
+    private val cloudPool = ThreadPoolExecutor(1, 3, 10, TimeUnit.SECONDS, LinkedBlockingQueue(200)) { r -> Thread(null, r, "cloud-call", 192L * 1024).also { it.isDaemon = true } }
+
+    fun post(e: Event) {
+        // A full queue means that the core is far behind. Waiting here would block the state watch, and losing an
+        // event could lose evidence: the leadership is given up instead, and rebuilt from what is stored.
+        if (!queue.offer(e)) {
+            log.error("event queue full")
+            queue.clear()
+            leadership.stepDown("event queue full")
+        }
+    }
+
+    /** Hands a report to the core; null: this node does not lead. */
+    fun report(r: Report): Orders? {
+        if (leadership.current() == null) return null
+        val f = CompletableFuture<Orders?>()
+        post(Event.Reported(r, f))
+        return try {
+            f.get(2500, TimeUnit.MILLISECONDS)
+        } catch (e: java.util.concurrent.TimeoutException) {
+            log.warn("report of {} was not answered in time", r.machine)
+            null
+        }
+    }
+
+    fun run() {
+        var nextTick = clock.elapsedNow()
+        while (!Thread.currentThread().isInterrupted) {
+            val wait = (nextTick - clock.elapsedNow()).inWholeMilliseconds.coerceIn(0, TICK.inWholeMilliseconds)
+            val e = queue.poll(wait, TimeUnit.MILLISECONDS)
+            if (e != null) handle(e)
+            if (clock.elapsedNow() >= nextTick) {
+                step { tick() }
+                nextTick = clock.elapsedNow() + TICK
+            }
+        }
+    }
+
+    private fun handle(e: Event) {
+        when (e) {
+            is Event.Elected -> begin(e.term)
+            Event.Deposed -> session = null
+            is Event.Changes -> step { e.changes.forEach { applyChange(it) } }
+            is Event.Reported -> answer(e)
+            is Event.DirectEnded -> step { directEnded(e.sent.machine, e.sent, e.outcome, e.report) }
+            is Event.Probed -> step { probed(e.machine, e.report) }
+            is Event.Listed -> step { listed(e.list) }
+            is Event.Types -> step { typesKnown(e.list) }
+            is Event.RentEnded -> step {
+                when (val o = e.outcome) {
+                    is RentOutcome.Rented -> rented(e.request, o.machines)
+                    RentOutcome.Refused -> rentRefused(e.request)
+                    RentOutcome.Unknown -> rentUnknown(e.request)
+                }
+            }
+            is Event.DeleteEnded -> step { deletionEnded(e.machines, e.ok) }
+            is Event.Stored -> if (session?.term == e.term) step { stored(e.outcome) }
+            is Event.Raised -> step { tokenRaised(e.token) }
+        }
+    }
+
+    private fun step(body: Scheduler.() -> Unit) {
+        val s = session ?: return
+        // Without a valid lease the core stands still; what it misses, later reports and reads tell again.
+        // Outcomes of calls still have to arrive, or it would wait for them for ever.
+        val actions = s.scheduler.step(clock.elapsedNow(), wallClock()) { body() }
+        actions.forEach { perform(it, s) }
+    }
+
+    private fun answer(e: Event.Reported) {
+        val s = session
+        if (s == null || leadership.current() != s.term) {
+            e.answer.complete(null)
+            return
+        }
+        if (e.report.token > s.scheduler.token) {
+            // A worker has seen a higher token: either ours is being raised, or another node leads.
+            e.answer.complete(null)
+            return
+        }
+        var orders: List<Command> = emptyList()
+        step { orders = reported(e.report) }
+        e.answer.complete(Orders(s.scheduler.token, orders))
+    }
+
+    private fun begin(term: Term) {
+        val config = SchedulerConfig(
+            settings.teams, settings.objectives, settings.zones,
+            settings.workers.report, settings.workers.lease, settings.workers.gangWait, settings.workers.gangPeer, settings.workers.cancel,
+            settings.cloudLimits.listLag, settings.stateLimits.txnOps, settings.stateLimits.valueBytes, tuning,
+        )
+        val scheduler = Scheduler(config, term.token, clock.elapsedNow())
+        val s = Session(term, scheduler)
+        session = s
+        step {
+            this@CoreLoop.types?.let { typesKnown(it) } ?: storedTypes()?.let { typesKnown(it) }
+            replica.under(Keys.JOB).forEach { applyChange(StateWire.Change(it.key, it.value, it.version)) }
+            replica.under(Keys.CANCEL).forEach { applyChange(StateWire.Change(it.key, it.value, it.version)) }
+        }
+        log.info("leading token={} jobs={}", term.token, scheduler.jobs.size)
+    }
+
+    private fun storedTypes(): List<MachineType>? = replica.get(Keys.TYPES)?.let {
+        try {
+            CloudWire.decodeTypes(it.value)
+        } catch (e: MalformedMessage) {
+            log.error("stored machine types are not readable", e)
+            null
+        }
+    }
+
+    private fun Scheduler.applyChange(c: StateWire.Change) {
+        try {
+            val value = c.value
+            when {
+                c.key.startsWith(Keys.JOB) -> {
+                    val id = c.key.removePrefix(Keys.JOB)
+                    if (value == null) jobGone(id) else if (id in jobs) jobs.getValue(id).let { if (c.version > it.version) it.version = c.version } else jobStored(whole(RecordWire.decode(value)), c.version)
+                }
+                c.key.startsWith(Keys.CANCEL) && value != null ->
+                    jobCancelled(c.key.removePrefix(Keys.CANCEL), c.version, value.count("at").milliseconds)
+            }
+        } catch (e: MalformedMessage) {
+            log.error("stored record {} is not readable", c.key, e)
+        }
+    }
+
+    /** Adds the done bits that large jobs keep in chunks of their own. */
+    private fun whole(r: JobRecord): JobRecord {
+        val chunks = replica.under(Keys.chunks(r.spec.id))
+        if (chunks.isEmpty()) return r
+        val done = r.done.clone() as BitSet
+        for (c in chunks) {
+            val n = c.key.substringAfterLast('/').toInt()
+            val bits = RecordWire.decodeBits(c.value["done"] as String)
+            var b = bits.nextSetBit(0)
+            while (b >= 0) {
+                done.set(n * RecordWire.CHUNK_TASKS + b)
+                b = bits.nextSetBit(b + 1)
+            }
+        }
+        return r.copy(done = done)
+    }
+
+    private fun perform(a: Action, s: Session) {
+        when (a) {
+            is Direct -> call({ post(Event.DirectEnded(a, DirectOutcome.NOT_SENT, null)) }) {
+                val (outcome, report) = if (leadership.current() == s.term) workers.command(a) else DirectOutcome.NOT_SENT to null
+                if (log.isDebugEnabled) log.debug("direct machine={} commands={} outcome={}", a.machine, a.commands, outcome)
+                post(Event.DirectEnded(a, outcome, report))
+            }
+            is Probe -> call({ post(Event.Probed(a.machine, null)) }) { post(Event.Probed(a.machine, workers.show(a.addr))) }
+            is Rent -> cloudCall({ post(Event.RentEnded(a, RentOutcome.Unknown)) }) {
+                val o = if (leadership.current() == s.term) cloud.rent(a) else RentOutcome.Unknown
+                log.info("rent request={} type={} zone={} spot={} count={} outcome={}", a.request, a.type, a.zone, a.spot, a.count, o)
+                post(Event.RentEnded(a, o))
+            }
+            is Delete -> cloudCall({ post(Event.DeleteEnded(a.machines, false)) }) {
+                val ok = leadership.current() == s.term && cloud.delete(a.machines)
+                log.info("delete machines={} ok={}", a.machines, ok)
+                post(Event.DeleteEnded(a.machines, ok))
+            }
+            is RaiseToken -> call({ post(Event.Raised(null)) }) {
+                val t = leadership.raiseToken()
+                log.info("token raised to={}", t)
+                post(Event.Raised(t))
+            }
+            is Store -> if (!writes.offer(s.term to a)) post(Event.Stored(StoreOutcome.Unknown, s.term))
+        }
+    }
+
+    private fun call(refused: () -> Unit, body: () -> Unit) = run(pool, refused, body)
+
+    private fun cloudCall(refused: () -> Unit, body: () -> Unit) = run(cloudPool, refused, body)
+
+    private fun run(on: ThreadPoolExecutor, refused: () -> Unit, body: () -> Unit) {
+        try {
+            on.execute {
+                try {
+                    body()
+                } catch (e: Exception) {
+                    log.error("call failed", e)
+                    refused()
+                }
+            }
+        } catch (e: RejectedExecutionException) {
+            log.warn("too many calls at once")
+            refused()
+        }
+    }
+
+    /** The duty that writes to the state service, one transaction at a time. */
+    fun write() {
+        while (!Thread.currentThread().isInterrupted) {
+            val (term, store) = writes.take()
+            post(Event.Stored(if (leadership.current() == term) transact(term, store) else StoreOutcome.Refused(emptySet()), term))
+        }
+    }
+
+    private fun transact(term: Term, store: Store): StoreOutcome {
+        val conditions = LinkedHashMap<String, Long>()
+        // A deposed leader's writes fail on this however late they arrive.
+        conditions[Keys.LEAD] = term.mark
+        val puts = ArrayList<Put>()
+        val removes = ArrayList<String>()
+        for (w in store.writes) {
+            conditions[Keys.job(w.id)] = w.version
+            when (w) {
+                is SaveJob -> {
+                    if (w.needsUncancelled) conditions[Keys.cancel(w.id)] = 0
+                    puts.add(Put(Keys.job(w.id), RecordWire.encode(w.record)))
+                    for (c in w.chunks) {
+                        val from = c * RecordWire.CHUNK_TASKS
+                        puts.add(Put(Keys.chunk(w.id, c), mapOf("done" to RecordWire.encodeBits(w.record.done.get(from, from + RecordWire.CHUNK_TASKS)))))
+                    }
+                }
+                is FinishJob -> {
+                    conditions[Keys.cancel(w.id)] = w.cancelVersion ?: 0
+                    val word = if (w.cancelVersion == null) "done" else "cancelled"
+                    puts.add(Put(Keys.final(w.id), mapOf("end" to word, "tasks" to w.tasks)))
+                    removes.add(Keys.job(w.id))
+                    if (w.cancelVersion != null) removes.add(Keys.cancel(w.id))
+                }
+            }
+        }
+        val r = state.transact(conditions, puts, removes)
+        if (log.isDebugEnabled) log.debug("store {} -> {}", store.writes.map { it.id }, r)
+        return when (r) {
+            is StateResult.Ok -> StoreOutcome.Stored(r.value)
+            is StateResult.Conflict -> {
+                if (Keys.LEAD in r.keys) {
+                    leadership.stepDown("a write was refused")
+                } else {
+                    log.info("store conflict keys={}", r.keys)
+                    replica.sync(1.seconds)
+                }
+                StoreOutcome.Refused(r.keys.toSet())
+            }
+            is StateResult.Refused -> StoreOutcome.Refused(emptySet())
+            else -> {
+                // It may have been applied, or may be later: the versions read now decide, and each write's
+                // condition on the job's version keeps a late one from undoing a newer.
+                replica.sync(2.seconds)
+                StoreOutcome.Unknown
+            }
+        }
+    }
+
+    /** The duty that reads the cloud's list and types while leading. */
+    fun watchCloud() {
+        var typesAt = -1000.seconds
+        while (!Thread.currentThread().isInterrupted) {
+            val term = leadership.current()
+            if (term == null) {
+                Thread.sleep(200)
+                continue
+            }
+            if (clock.elapsedNow() - typesAt > 30.seconds) {
+                val raw = cloud.typesRaw()
+                if (raw != null) {
+                    typesAt = clock.elapsedNow()
+                    val list = CloudWire.decodeTypes(raw)
+                    types = list
+                    post(Event.Types(list))
+                    storeTypes(term, raw)
+                }
+            }
+            cloud.machines()?.let { post(Event.Listed(it)) }
+            Thread.sleep(maxOf(1.seconds, settings.cloudLimits.listLag / 3).inWholeMilliseconds)
+        }
+    }
+
+    /** The last known types are kept, so that a node can judge submissions while the cloud is silent. */
+    private fun storeTypes(term: Term, raw: Fields) {
+        val known = replica.get(Keys.TYPES)
+        if (known != null && CloudWire.decodeTypes(known.value).map { it.name to it.room } == CloudWire.decodeTypes(raw).map { it.name to it.room }) return
+        val r = state.transact(mapOf(Keys.LEAD to term.mark, Keys.TYPES to (known?.version ?: 0L)), listOf(Put(Keys.TYPES, raw)))
+        if (r !is StateResult.Ok) log.info("machine types not stored: {}", r)
+    }
+
+    override fun close() {
+        pool.shutdownNow()
+        cloudPool.shutdownNow()
+    }
+
+    companion object {
+        private val log = LoggerFactory.getLogger(CoreLoop::class.java)
+        private const val QUEUE = 20_000
+        private val TICK: Duration = 250.milliseconds
+    }
+}
+
+/** The time of day, as a span since the epoch. */
+fun wallClock(): Duration = java.time.Instant.now().toEpochMilli().milliseconds
--- /dev/null
+++ b/src/main/kotlin/glenspool/controller/Leadership.kt
@@ -0,0 +1,157 @@
+package glenspool.controller
+
+import glenspool.state.Keys
+import glenspool.state.Put
+import glenspool.state.Replica
+import glenspool.state.StateClient
+import glenspool.state.StateResult
+import glenspool.wire.MalformedMessage
+import glenspool.wire.count
+import glenspool.wire.text
+import org.slf4j.LoggerFactory
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** One term of this node's leadership. [mark] is the version of the leadership record that guards every write. */
+data class Term(val token: Long, val mark: Long, val lease: Long)
+
+/**
+ * Who leads. The leadership record lives on a lease; the token counter beside it only grows and outlives every
+ * lease. A node counts its own time as leader from when the renewal was sent, less clock drift, so it always
+ * stops before anyone else could begin.
+ */
+class Leadership(
+    private val node: String,
+    /** Tells this process from an earlier one on the same host, whose record may still be there. */
+    private val boot: String,
+    private val client: StateClient,
+    private val replica: Replica,
+    private val elected: (Term) -> Unit,
+    private val deposed: () -> Unit,
+) {
+    @Volatile
+    private var term: Term? = null
+
+    @Volatile
+    private var validUntil: ComparableTimeMark = TimeSource.Monotonic.markNow()
+
+    private val clock = TimeSource.Monotonic
+
+    /** The term, if this node may act as leader at this moment. */
+    fun current(): Term? = term?.takeIf { validUntil.hasNotPassedNow() }
+
+    /** The leader as the stored record names it. */
+    fun recordedLeader(): String? = replica.get(Keys.LEAD)?.value?.get("node") as? String
+
+    private fun recordedBoot(): String? = replica.get(Keys.LEAD)?.value?.get("boot") as? String
+
+    fun run() {
+        while (!Thread.currentThread().isInterrupted) {
+            Thread.sleep(if (term != null) keepOrDrop() else tryElect())
+        }
+    }
+
+    /** Something showed that another node leads, or may: this node stops at once and looks again. */
+    fun stepDown(why: String) {
+        if (term == null) return
+        log.info("leadership ended reason={}", why)
+        term = null
+        deposed()
+    }
+
+    private fun keepOrDrop(): Long {
+        val t = term ?: return 0
+        val recorded = replica.get(Keys.LEAD)
+        if (replica.age().let { it != null && it < FRESH } && recorded != null && recorded.version > t.mark) {
+            stepDown("another holder is recorded")
+            return 0
+        }
+        val sent = clock.markNow()
+        return when (val r = client.renew(t.lease)) {
+            is StateResult.Ok -> {
+                validUntil = sent + VALID
+                RENEW_EVERY.inWholeMilliseconds
+            }
+            is StateResult.Missing -> {
+                stepDown("lease lost")
+                0
+            }
+            else -> {
+                log.debug("renewal failed: {}", r)
+                RETRY.inWholeMilliseconds
+            }
+        }
+    }
+
+    private fun tryElect(): Long {
+        val age = replica.age()
+        if (age == null || age > FRESH) return IDLE.inWholeMilliseconds
+        val recorded = replica.get(Keys.LEAD)
+        // Our own record from an earlier process: that process has ended, so its place is free. It is never
+        // taken for ours, since it is replaced under its exact version.
+        val ownRemains = recorded != null && recordedLeader() == node && recordedBoot() != boot
+        if (recorded != null && !ownRemains) return IDLE.inWholeMilliseconds
+        val counter = replica.get(Keys.TERM)
+        val last = try {
+            counter?.value?.count("token") ?: 0L
+        } catch (e: MalformedMessage) {
+            log.error("token counter is not readable", e)
+            return IDLE.inWholeMilliseconds
+        }
+        val sent = clock.markNow()
+        val lease = (client.newLease(TTL) as? StateResult.Ok)?.value ?: return IDLE.inWholeMilliseconds
+        val token = last + 1
+        val r = client.transact(
+            mapOf(Keys.LEAD to (recorded?.version ?: 0L), Keys.TERM to (counter?.version ?: 0L)),
+            listOf(
+                Put(Keys.LEAD, mapOf("node" to node, "boot" to boot, "token" to token), lease),
+                Put(Keys.TERM, mapOf("token" to token)),
+            ),
+        )
+        if (r !is StateResult.Ok) {
+            log.info("election not won: {}", r)
+            replica.sync(1.seconds)
+            return RETRY.inWholeMilliseconds
+        }
+        // Nothing may be judged from a copy older than the election.
+        while (!replica.sync(1.seconds) || replica.get(Keys.LEAD)?.version.let { it == null || it < r.value }) {
+            if (sent.elapsedNow() > VALID) {
+                log.warn("elected, but the state could not be read in time")
+                return 0
+            }
+        }
+        if (recordedBoot() != boot) return 0
+        val t = Term(token, r.value, lease)
+        validUntil = sent + VALID
+        term = t
+        log.info("elected token={} revision={}", token, r.value)
+        elected(t)
+        return RENEW_EVERY.inWholeMilliseconds
+    }
+
+    /** Raises the token within the term. The new token, or null. */
+    fun raiseToken(): Long? {
+        val t = current() ?: return null
+        val counter = replica.get(Keys.TERM) ?: return null
+        val next = counter.value.count("token") + 1
+        val r = client.transact(mapOf(Keys.LEAD to t.mark, Keys.TERM to counter.version), listOf(Put(Keys.TERM, mapOf("token" to next))))
+        if (r is StateResult.Ok) return next
+        replica.sync(1.seconds)
+        return null
+    }
+
+    companion object {
+        private val log = LoggerFactory.getLogger(Leadership::class.java)
+        private val TTL = 4.seconds
+
+        /** The lease less what clocks may drift in it and a margin for a stalled process. */
+        private val VALID = TTL * 0.999 - 400.milliseconds
+        private val RENEW_EVERY = 1.seconds
+        private val RETRY = 300.milliseconds
+        private val IDLE = 200.milliseconds
+        private val FRESH = 7.seconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -0,0 +1,132 @@
+package glenspool.controller
+
+import glenspool.api.UserApi
+import glenspool.api.WorkerApi
+import glenspool.cloud.CloudClient
+import glenspool.config.Settings
+import glenspool.core.Tuning
+import glenspool.core.model.MachineType
+import glenspool.http.HttpCaller
+import glenspool.http.HttpListener
+import glenspool.http.hostPort
+import glenspool.peer.PeerClient
+import glenspool.peer.PeerServer
+import glenspool.peer.PeerStatus
+import glenspool.state.Keys
+import glenspool.state.Replica
+import glenspool.state.StateClient
+import glenspool.wire.CloudWire
+import glenspool.wire.MalformedMessage
+import glenspool.worker.WorkerClient
+import org.slf4j.LoggerFactory
+import java.security.SecureRandom
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** One controller: all adapters and duties, wired together. */
+class Node(private val settings: Settings, tuning: Tuning) : AutoCloseable {
+    private val http = HttpCaller(800.milliseconds)
+    private val state = StateClient(settings.state.hostPort(), http)
+    private val cloud = CloudClient(settings.cloud.hostPort(), http, settings.cloudLimits.rps)
+    private val workers = WorkerClient(http)
+    private val peers = PeerClient(settings.members)
+    private val boot = java.lang.Long.toHexString(SecureRandom().nextLong())
+    val replica = Replica(state, settings.stateLimits.rps) { changes, _ -> loop.post(Event.Changes(changes)) }
+    val leadership = Leadership(settings.node, boot, state, replica, { loop.post(Event.Elected(it)) }, { loop.post(Event.Deposed) })
+    private val loop: CoreLoop = CoreLoop(settings, tuning, replica, leadership, state, cloud, workers)
+
+    @Volatile
+    private var peerStatuses: List<PeerStatus> = emptyList()
+    private val duties = ArrayList<Thread>()
+    private val userApi = UserApi(settings, state, replica, peers) { machineTypes() }
+    private val workerApi = WorkerApi(settings, this, loop)
+    private var api: HttpListener? = null
+    private var internal: HttpListener? = null
+
+    fun start() {
+        // Requests are taken as soon as the port is open; until the state is read they are told to come back.
+        api = HttpListener(settings.apiAddr, "api", API_THREADS) { r -> if (r.uri.path == "/checkin") workerApi(r) else userApi(r) }
+        internal = HttpListener(settings.internalAddr, "peer", PEER_THREADS, PeerServer({ status() }, userApi::local))
+        duty("state-watch") { replica.follow() }
+        duty("state-sync") { replica.serveSyncs() }
+        duty("leadership") { leadership.run() }
+        duty("core") { loop.run() }
+        duty("cloud") { loop.watchCloud() }
+        duty("writer") { loop.write() }
+        duty("peers") { watchPeers() }
+        log.info("started node={} zone={} api={}", settings.node, settings.zone, settings.apiAddr.hostPort())
+    }
+
+    private fun duty(name: String, body: () -> Unit) {
+        val t = Thread(null, {
+            while (!Thread.currentThread().isInterrupted) {
+                try {
+                    body()
+                } catch (e: InterruptedException) {
+                    Thread.currentThread().interrupt()
+                } catch (e: Exception) {
+                    // A duty that dies would leave the node half alive: it is logged and begun again.
+                    log.error("duty {} failed", name, e)
+                    try {
+                        Thread.sleep(500)
+                    } catch (i: InterruptedException) {
+                        Thread.currentThread().interrupt()
+                    }
+                }
+            }
+        }, name, 256L * 1024)
+        t.isDaemon = true
+        t.start()
+        duties.add(t)
+    }
+
+    fun join() = duties.forEach { it.join() }
+
+    override fun close() {
+        api?.close()
+        internal?.close()
+        duties.forEach { it.interrupt() }
+        loop.close()
+    }
+
+    /** Whether this node's copy of the state is recent enough to say who leads. */
+    fun fresh(): Boolean = replica.age().let { it != null && it < FRESH }
+
+    private fun status() = PeerStatus(settings.node, leadership.current() != null, leadership.recordedLeader(), fresh())
+
+    private fun watchPeers() {
+        while (true) {
+            if (fresh()) {
+                peerStatuses = emptyList()
+            } else {
+                peerStatuses = peers.statuses()
+            }
+            Thread.sleep(1000)
+        }
+    }
+
+    /** The node that workers should report to; null if nobody is known to lead. */
+    fun leaderToName(): String? {
+        if (fresh()) return leadership.recordedLeader().takeIf { it != settings.node }
+        return peerStatuses.firstOrNull { it.leading }?.node
+    }
+
+    private fun machineTypes(): List<MachineType>? {
+        loop.types?.let { return it }
+        val stored = replica.get(Keys.TYPES) ?: return null
+        return try {
+            CloudWire.decodeTypes(stored.value).also { loop.types = it }
+        } catch (e: MalformedMessage) {
+            log.error("stored machine types are not readable", e)
+            null
+        }
+    }
+
+    companion object {
+        private val log = LoggerFactory.getLogger(Node::class.java)
+        private val FRESH: Duration = 6500.milliseconds
+        private const val API_THREADS = 64
+        private const val PEER_THREADS = 24
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/glenspool/core/Actions.kt
@@ -0,0 +1,68 @@
+package glenspool.core
+
+import glenspool.core.model.Command
+import glenspool.core.model.JobRecord
+
+/** What the core wants done outside. */
+sealed interface Action
+
+/** Commands for one machine, to be sent at once. */
+data class Direct(val machine: String, val addr: String, val token: Long, val session: Long, val commands: List<Command>) : Action
+
+/** Ask a silent machine for its report. */
+data class Probe(val machine: String, val addr: String) : Action
+
+data class Rent(val request: String, val type: String, val zone: String, val spot: Boolean, val count: Int) : Action
+
+data class Delete(val machines: List<String>) : Action
+
+/** Raise the token, so that commands on their way become void. */
+data object RaiseToken : Action
+
+/** Store these changes in one transaction that holds only while this node leads. */
+data class Store(val writes: List<JobWrite>) : Action
+
+/** One job's part of a transaction. */
+sealed interface JobWrite {
+    val id: String
+    val version: Long
+}
+
+/** The new record. With [needsUncancelled] it must not be stored once the job is cancelled. */
+data class SaveJob(
+    override val id: String,
+    override val version: Long,
+    val record: JobRecord,
+    val chunks: List<Int>,
+    val change: Long,
+    val needsUncancelled: Boolean,
+) : JobWrite
+
+/** Moves a job to its final answer. [cancelVersion]: of the cancellation; null if the job is done. */
+data class FinishJob(override val id: String, override val version: Long, val cancelVersion: Long?, val tasks: Int) : JobWrite
+
+/** How a transaction ended. */
+sealed interface StoreOutcome {
+    data class Stored(val revision: Long) : StoreOutcome
+
+    /** Conditions failed for these jobs; nothing was written. */
+    data class Refused(val jobs: Set<String>) : StoreOutcome
+
+    /** It may or may not have been written, or will be; the jobs' current versions were read again. */
+    data object Unknown : StoreOutcome
+}
+
+/** How a direct command ended. */
+enum class DirectOutcome {
+    /** Carried out; the report that came back shows it. */
+    DONE,
+
+    /** Nothing was carried out, and won't be. */
+    REFUSED,
+
+    /** The connection never came about. */
+    NOT_SENT,
+
+    /** No answer: it may be carried out at any later time. */
+    UNKNOWN,
+}
--- /dev/null
+++ b/src/main/kotlin/glenspool/core/Tuning.kt
@@ -0,0 +1,28 @@
+package glenspool.core
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Values that operators may set by script; all have defaults that suit any deployment. Times that depend on
+ * the deployment are derived from its settings instead and are not here.
+ */
+data class Tuning(
+    /** RUPAM's resource factor: how far a memory request must outweigh the CPU request. */
+    val resourceFactor: Double = 2.0,
+    val roundPeriod: Duration = 1.seconds,
+    /** After this long a gang has freed machines held for it. */
+    val gangWaitBound: Duration = 10.seconds,
+    /** An ordinary machine that has been empty for this long is returned. */
+    val idleReturn: Duration = 20.seconds,
+    /** Share of a lease after which a silent machine is replaced. */
+    val silenceShare: Double = 0.5,
+    /** Spare places kept for critical services, as a multiple of what arrives while a machine boots. */
+    val headroom: Double = 1.0,
+    /** A machine that has not come up after this many usual boot times is replaced. */
+    val bootPatience: Double = 2.5,
+    /** Waiting work that running tasks are expected to make room for within this time rents nothing. */
+    val rentPatience: Duration = 10.seconds,
+    /** How long a refused kind of machine is not asked for again. */
+    val refusalPause: Duration = 15.seconds,
+)
--- /dev/null
+++ b/src/main/kotlin/glenspool/core/cluster/Machine.kt
@@ -0,0 +1,135 @@
+package glenspool.core.cluster
+
+import glenspool.core.lifecycle.Job
+import glenspool.core.lifecycle.Placement
+import glenspool.core.model.Amount
+import glenspool.core.model.Command
+import glenspool.core.model.JobSpec
+import glenspool.core.model.MachineType
+import glenspool.core.model.Report
+import glenspool.core.model.ReportedTask
+import glenspool.core.model.TaskKey
+import glenspool.core.model.TaskState
+import kotlin.time.Duration
+
+/** A start command whose outcome is unknown: it may still be executed while token and session match. */
+data class LooseStart(val key: TaskKey, val attempt: Long, val token: Long, val session: Long, val since: Duration)
+
+/** What is known of one machine, and how. */
+class Machine(val id: String, var type: String, var zone: String, var spot: Boolean, val firstSeen: Duration) {
+    var addr: String = ""
+    var session = 0L
+    var seq = 0L
+
+    /** The highest token that a report of this machine has shown. */
+    var token = 0L
+
+    /** When it was last heard of, by report or by an answer to a direct request. Null: never. */
+    var heard: Duration? = null
+    var notice: Duration? = null
+    var noticeAt: Duration? = null
+
+    /** True once a report under the current leader's token has shown what is on the machine. */
+    var trusted = false
+    var listed = false
+    var booting = true
+    var missingSince: Duration? = null
+    var failed = false
+
+    /** A deletion was sent or is wanted; the machine is never used again. */
+    var deleting = false
+    var deleteSent: Duration? = null
+    var draining = false
+    var idleSince: Duration? = null
+    var usedAt: Duration? = null
+    var age: Duration = Duration.ZERO
+
+    val placements = LinkedHashMap<TaskKey, Placement>()
+    var reported: List<ReportedTask> = emptyList()
+    val strays = HashMap<TaskKey, Amount>()
+    val loose = ArrayList<LooseStart>()
+    val orders = ArrayList<Command>()
+    var directBusy = false
+    var directRetry: Duration = Duration.ZERO
+    var probeAt: Duration = Duration.ZERO
+
+    /** Images that tasks were seen to have here, most recently used last. */
+    private val images = LinkedHashMap<String, Double>()
+    var errors = 0
+    var badUntil: Duration? = null
+
+    /** Relative speed as seen from tasks that completed; 1 is usual. */
+    var slowness = 1.0
+
+    val everHeard: Boolean get() = heard != null
+
+    fun used(): Amount {
+        var sum = Amount.ZERO
+        for (p in placements.values) sum += p.job.need
+        for (a in strays.values) sum += a
+        return sum
+    }
+
+    fun free(type: MachineType): Amount = type.room - used()
+
+    fun newer(r: Report): Boolean = r.session > session || (r.session == session && r.seq > seq)
+
+    fun hasImage(image: String): Boolean = image in images
+
+    /** Whether the image is here or being fetched by some task. */
+    fun willHaveImage(image: String): Boolean = image in images || placements.values.any { it.job.spec.image == image }
+
+    fun sawImage(image: String, gb: Double, cacheGb: Double) {
+        images.remove(image)
+        images[image] = gb
+        var sum = images.values.sum()
+        val it = images.entries.iterator()
+        while (sum > cacheGb && it.hasNext()) {
+            val e = it.next()
+            if (e.key == image) break
+            sum -= e.value
+            it.remove()
+        }
+    }
+
+    fun newSession() {
+        images.entries.removeIf { false }
+    }
+
+    fun ready(now: Duration, freshness: Duration): Boolean {
+        val h = heard ?: return false
+        val bad = badUntil
+        return trusted && !deleting && !draining && !failed && notice == null && now - h <= freshness && (bad == null || now >= bad)
+    }
+
+    fun busyTasks(): Int = placements.size + strays.size
+
+    fun fetching(image: String): Boolean = placements.values.any { it.job.spec.image == image && it.state == TaskState.FETCHING }
+}
+
+/** Whether a job may use a machine at all, whatever else runs. */
+fun allowed(spec: JobSpec, m: Machine): Boolean =
+    (spec.types == null || m.type in spec.types) && (spec.zone == null || spec.zone == m.zone) && (spec.spot || !m.spot)
+
+/**
+ * Whether one more task of the job may be in the zone, counting every task that is or may be somewhere.
+ * Placements and strays both count, since neither is proved gone.
+ */
+fun zoneAllows(job: Job, zone: String, zoneOf: (String) -> String?): Boolean {
+    if (!job.spec.sameZone && !job.spec.spread) return true
+    var inZone = 0
+    for (p in job.placements.values) {
+        val z = zoneOf(p.machine)
+        if (job.spec.sameZone && z != zone) return false
+        // A machine whose zone is not known yet could be anywhere: count it against every zone.
+        if (z == null || z == zone) inZone++
+    }
+    for (machines in job.strays.values) {
+        for (id in machines) {
+            val z = zoneOf(id)
+            if (job.spec.sameZone && z != zone) return false
+            if (z == null || z == zone) inZone++
+        }
+    }
+    return inZone < job.spec.zoneCap
+}
--- /dev/null
+++ b/src/main/kotlin/glenspool/core/model/Model.kt
@@ -0,0 +1,141 @@
+package glenspool.core.model
+
+import java.util.BitSet
+import kotlin.time.Duration
+
+/** What kind of job it is: independent tasks, tasks that run together, or replicas that run until cancelled. */
+enum class JobKind { ARRAY, GANG, SERVICE }
+
+/** Priorities, lowest first, so that comparison follows rank. */
+enum class Priority { IDLE, STANDARD, URGENT, CRITICAL }
+
+/** The resource that bounds a task, see DESIGN. The order is the order in which rounds draw from the queues. */
+enum class Resource { GPU, MEMORY, CPU }
+
+/** An amount of a machine's resources. */
+data class Amount(val cpus: Double, val gpus: Double, val memoryGb: Double) {
+    operator fun plus(o: Amount) = Amount(cpus + o.cpus, gpus + o.gpus, memoryGb + o.memoryGb)
+
+    operator fun minus(o: Amount) = Amount(cpus - o.cpus, gpus - o.gpus, memoryGb - o.memoryGb)
+
+    operator fun times(n: Int) = Amount(cpus * n, gpus * n, memoryGb * n)
+
+    /** A little slack absorbs the rounding of sums of decimal fractions; a worker refuses a real overflow. */
+    fun fits(o: Amount): Boolean = cpus <= o.cpus + EPS && gpus <= o.gpus + EPS && memoryGb <= o.memoryGb + EPS
+
+    fun of(r: Resource): Double = when (r) {
+        Resource.GPU -> gpus
+        Resource.MEMORY -> memoryGb
+        Resource.CPU -> cpus
+    }
+
+    companion object {
+        const val EPS = 1e-6
+        val ZERO = Amount(0.0, 0.0, 0.0)
+    }
+}
+
+/** A job as its user described it. */
+data class JobSpec(
+    val id: String,
+    val jobClass: String,
+    val team: String,
+    val kind: JobKind,
+    val priority: Priority,
+    val tasks: Int,
+    val need: Amount,
+    val image: String,
+    val imageGb: Double,
+    val types: List<String>?,
+    val zone: String?,
+    val sameZone: Boolean,
+    val spread: Boolean,
+    val spot: Boolean,
+    val estimate: Duration,
+    val checkpoint: Duration,
+    val save: Duration,
+    val deadline: Duration?,
+) {
+    /** At most this many tasks of a spread job may be in one zone. */
+    val zoneCap: Int get() = if (spread) (tasks + 1) / 2 else Int.MAX_VALUE
+}
+
+/** A machine type as the cloud offers it. */
+data class MachineType(
+    val name: String,
+    val room: Amount,
+    val cacheGb: Double,
+    val fetchGbPerS: Double,
+    val price: Double,
+    val spotPrice: Double,
+    val boot: Duration,
+    val zones: List<String>,
+)
+
+/** A team's guarantee and limit; null where there is none. */
+data class Team(val name: String, val cpus: Double, val gpus: Double, val cpusMax: Double?, val gpusMax: Double?)
+
+/** One of the operators' aims, as far as scheduling can use it. */
+data class Objective(val kind: String, val jobClass: String?, val within: Duration?, val share: Double)
+
+/** A task's place as stored before it is commanded: task index, attempt and machine. */
+data class Intent(val task: Int, val attempt: Long, val machine: String)
+
+/** A job as the state service holds it. */
+data class JobRecord(
+    val spec: JobSpec,
+    val submitted: Duration,
+    val lastAttempt: Long,
+    val done: BitSet,
+    val intents: List<Intent>,
+)
+
+/** Where a task is in its life on a machine, as its worker tells it. */
+enum class TaskState { FETCHING, WAITING, RUNNING, SAVING, EXITED }
+
+/** Why a task exited. */
+enum class Exit { DONE, STOPPED, PEERS, ALONE, ERROR, NO_ROOM, BUSY, UNKNOWN }
+
+data class TaskKey(val job: String, val task: Int)
+
+/** One task in a worker's report. */
+data class ReportedTask(val key: TaskKey, val attempt: Long, val state: TaskState, val exit: Exit?, val saved: Boolean)
+
+/** A worker's report; (session, seq) orders the reports of one machine. */
+data class Report(
+    val machine: String,
+    val addr: String,
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+    val session: Long,
+    val seq: Long,
+    val token: Long,
+    val notice: Duration?,
+    val tasks: List<ReportedTask>,
+)
+
+/** What a worker is told to do. */
+sealed interface Command {
+    val key: TaskKey
+    val attempt: Long
+}
+
+data class StartTask(override val key: TaskKey, override val attempt: Long) : Command
+
+data class StopTask(override val key: TaskKey, override val attempt: Long, val grace: Duration) : Command
+
+data class ForgetTask(override val key: TaskKey, override val attempt: Long) : Command
+
+/** How far the cloud says a machine has come. */
+enum class MachineStage { BOOTING, RUNNING, FAILED }
+
+data class ListedMachine(
+    val id: String,
+    val addr: String,
+    val type: String,
+    val zone: String,
+    val spot: Boolean,
+    val stage: MachineStage,
+    val age: Duration,
+)
--- /dev/null
+++ b/src/main/kotlin/glenspool/core/placement/Round.kt
@@ -0,0 +1,191 @@
+package glenspool.core.placement
+
+import glenspool.core.cluster.Machine
+import glenspool.core.cluster.allowed
+import glenspool.core.cluster.zoneAllows
+import glenspool.core.lifecycle.Job
+import glenspool.core.model.Amount
+import glenspool.core.model.JobKind
+import glenspool.core.model.MachineType
+import glenspool.core.model.Priority
+import glenspool.core.model.Resource
+import kotlin.time.Duration
+
+/** The bottleneck resource of a task, after DESIGN: GPU if it asks for one, else memory or CPU by share. */
+fun bottleneck(need: Amount, common: MachineType?, factor: Double): Resource = when {
+    need.gpus > 0.0 -> Resource.GPU
+    common != null && need.memoryGb / common.room.memoryGb > factor * (need.cpus / common.room.cpus) -> Resource.MEMORY
+    else -> Resource.CPU
+}
+
+/** What a round may look at, and the one thing it does: [place]. */
+interface RoundView {
+    val types: Map<String, MachineType>
+    val commonType: MachineType?
+    val factor: Double
+
+    fun zoneOf(machine: String): String?
+
+    /** How many more tasks of the job its team's limit allows. */
+    fun teamRoom(job: Job): Int
+
+    /** Whether the job's team stays within its guarantee with one more task of the job. */
+    fun withinGuarantee(job: Job): Boolean
+
+    fun fastestType(jobClass: String): String?
+
+    fun place(job: Job, task: Int, machine: Machine, attempt: Long?)
+
+    fun newGangAttempt(job: Job): Long
+
+    /** A time that orders jobs of the same priority: who should start first. */
+    fun order(job: Job): Duration
+
+    /** How many tasks of the job may be placed at once, so that its record stays within a value's limit. */
+    fun recordRoom(job: Job): Int
+
+    /** Whether the job avoids this machine, because it failed there. */
+    fun avoids(job: Job, machine: Machine): Boolean
+
+    /** Extra cost of using the machine for this job, 0 is best: keeps spot-able work off dear machines. */
+    fun misfit(job: Job, machine: Machine): Int
+}
+
+/**
+ * One round of matching. Priorities are served from the top; within one, gangs are placed whole first, then
+ * machine queues per resource are drawn from in turn, each largest capacity, then most free room first, and
+ * each machine takes a waiting task that is bound by that resource.
+ */
+class Round(private val view: RoundView, machines: List<Machine>, private val jobs: List<Job>) {
+    private val free = LinkedHashMap<Machine, Amount>()
+    private val held = HashSet<Machine>()
+
+    init {
+        for (m in machines) view.types[m.type]?.let { free[m] = m.free(it) }
+    }
+
+    /** Gangs that could not be placed and have waited past the bound have machines [held] for them. */
+    fun run(holdFor: (Job) -> Boolean) {
+        for (priority in Priority.entries.asReversed()) {
+            val level = jobs.filter { it.rank == priority }
+                .sortedWith(compareBy<Job> { !view.withinGuarantee(it) }.thenBy { view.order(it) }.thenBy { it.spec.id })
+            if (level.isEmpty()) continue
+            for (job in level) {
+                if (job.spec.kind == JobKind.GANG && !placeGang(job) && holdFor(job)) hold(job)
+            }
+            matchTasks(level.filter { it.spec.kind != JobKind.GANG })
+        }
+    }
+
+    /** Whole or not at all: the plan is made on paper first. */
+    private fun placeGang(job: Job): Boolean {
+        if (job.placements.isNotEmpty()) return false
+        val tasks = job.waiting(job.spec.tasks)
+        if (tasks.size < job.spec.tasks - job.done.cardinality() || tasks.isEmpty()) return true
+        if (view.teamRoom(job) < tasks.size || view.recordRoom(job) < tasks.size) return true
+        val zones: List<String?> = if (job.spec.sameZone) free.keys.map { it.zone }.distinct() else listOf(null)
+        val plan = zones.mapNotNull { planGang(job, tasks, it) }.minByOrNull { plan -> plan.count { !it.second.hasImage(job.spec.image) } }
+            ?: return false
+        val attempt = view.newGangAttempt(job)
+        for ((task, m) in plan) {
+            view.place(job, task, m, attempt)
+            free[m] = free.getValue(m) - job.need
+        }
+        return true
+    }
+
+    private fun planGang(job: Job, tasks: List<Int>, zone: String?): List<Pair<Int, Machine>>? {
+        val room = HashMap<Machine, Amount>()
+        val perZone = HashMap<String, Int>()
+        val plan = ArrayList<Pair<Int, Machine>>()
+        val candidates = free.keys
+            .filter { it !in held && allowed(job.spec, it) && (zone == null || it.zone == zone) && !view.avoids(job, it) }
+            .sortedWith(
+                compareBy<Machine> { if (it.type == view.fastestType(job.spec.jobClass)) 0 else 1 }
+                    .thenBy { if (it.hasImage(job.spec.image)) 0 else 1 }
+                    .thenBy { view.misfit(job, it) }
+                    .thenBy { it.slowness }
+                    .thenByDescending { free.getValue(it).gpus },
+            )
+        val left = ArrayDeque(tasks)
+        for (m in candidates) {
+            var r = room[m] ?: free.getValue(m)
+            while (left.isNotEmpty() && job.need.fits(r) && (perZone[m.zone] ?: 0) < job.spec.zoneCap) {
+                plan.add(left.removeFirst() to m)
+                perZone.merge(m.zone, 1, Int::plus)
+                r -= job.need
+                room[m] = r
+            }
+            if (left.isEmpty()) return plan
+        }
+        return null
+    }
+
+    /** Keeps free machines that the gang could use from lower work in this round. */
+    private fun hold(job: Job) {
+        var wanted = job.spec.tasks
+        val zone = if (job.spec.sameZone) free.keys.filter { allowed(job.spec, it) }.groupingBy { it.zone }.eachCount().maxByOrNull { it.value }?.key else null
+        for ((m, r) in free.entries.sortedBy { it.key.busyTasks() }) {
+            if (wanted <= 0) return
+            if (m in held || !allowed(job.spec, m) || (zone != null && m.zone != zone)) continue
+            held.add(m)
+            wanted -= maxOf(1, minOf((r.cpus / job.need.cpus.coerceAtLeast(0.1)).toInt(), 8))
+        }
+    }
+
+    private fun matchTasks(level: List<Job>) {
+        val byResource = level.groupBy { bottleneck(it.need, view.commonType, view.factor) }
+        for (pass in listOf(true, false)) {
+            val queues = Resource.entries.associateWith { r ->
+                ArrayDeque(
+                    free.keys.filter { m -> m !in held && free.getValue(m).of(r) > Amount.EPS && byResource[r] != null }
+                        .sortedWith(
+                            compareByDescending<Machine> { view.types.getValue(it.type).room.of(r) }
+                                .thenByDescending { free.getValue(it).of(r) },
+                        ),
+                )
+            }
+            while (queues.values.any { it.isNotEmpty() }) {
+                for (r in Resource.entries) {
+                    val q = queues.getValue(r)
+                    val m = q.removeFirstOrNull() ?: continue
+                    if (matchOne(m, byResource[r] ?: emptyList(), pass) && free.getValue(m).of(r) > Amount.EPS) q.addLast(m)
+                }
+            }
+        }
+    }
+
+    /** Gives the machine one task. In the first pass only if no other machine suits the task better. */
+    private fun matchOne(m: Machine, jobs: List<Job>, preferredOnly: Boolean): Boolean {
+        val room = free.getValue(m)
+        for (job in jobs) {
+            if (!fits(job, m, room)) continue
+            if (preferredOnly && !preferred(job, m)) continue
+            val task = job.waiting(1).firstOrNull() ?: continue
+            view.place(job, task, m, null)
+            free[m] = free.getValue(m) - job.need
+            return true
+        }
+        return false
+    }
+
+    private fun fits(job: Job, m: Machine, room: Amount): Boolean =
+        job.need.fits(room) && allowed(job.spec, m) && !view.avoids(job, m) && job.waiting(1).isNotEmpty() &&
+            zoneAllows(job, m.zone, view::zoneOf) && view.teamRoom(job) > 0 && view.recordRoom(job) > 0
+
+    /** The fastest type, then a cached image, then a machine that fits the job's price and spread. */
+    private fun preferred(job: Job, m: Machine): Boolean {
+        val mine = score(job, m)
+        return free.none { (o, r) -> o !== m && o !in held && job.need.fits(r) && allowed(job.spec, o) && !view.avoids(job, o) && score(job, o) < mine }
+    }
+
+    private fun score(job: Job, m: Machine): Int {
+        val fastest = view.fastestType(job.spec.jobClass)
+        var s = if (fastest == null || m.type == fastest) 0 else 1000
+        s += if (m.hasImage(job.spec.image)) 0 else if (m.willHaveImage(job.spec.image)) 50 else 100
+        s += view.misfit(job, m) * 10
+        if (job.spec.kind == JobKind.SERVICE) s += m.placements.values.count { it.job === job }
+        if (m.slowness > 1.5) s += 400
+        return s
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/glenspool/http/Http.kt
@@ -0,0 +1,148 @@
+package glenspool.http
+
+import com.sun.net.httpserver.HttpServer
+import glenspool.wire.Cbor
+import glenspool.wire.Fields
+import glenspool.wire.MalformedMessage
+import org.http4k.core.Body
+import org.http4k.core.HttpHandler
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.server.HttpExchangeHandler
+import java.io.IOException
+import java.net.HttpURLConnection
+import java.net.InetSocketAddress
+import java.net.URI
+import java.nio.ByteBuffer
+import java.util.concurrent.SynchronousQueue
+import java.util.concurrent.ThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** How a request to a counterpart ended. */
+sealed interface CallResult {
+    data class Answer(val status: Int, val body: Fields) : CallResult
+
+    /** No connection came about, so nothing can be carried out later. */
+    data class NotSent(val why: String) : CallResult
+
+    /** The request may have been carried out, or may be later. */
+    data class NoAnswer(val why: String) : CallResult
+}
+
+/**
+ * The one way out for requests, over the JDK's keep-alive connections. Redirects are not followed and nothing
+ * is ever sent twice behind our back: a repeated command or transaction is the caller's decision.
+ */
+class HttpCaller(private val connectTimeout: Duration) {
+    fun get(to: String, path: String, timeout: Duration): CallResult = call("GET", to, path, null, timeout)
+
+    fun post(to: String, path: String, body: Fields, timeout: Duration): CallResult = call("POST", to, path, Cbor.encode(body), timeout)
+
+    fun call(method: String, to: String, path: String, body: ByteArray?, timeout: Duration): CallResult {
+        val c = URI("http://$to$path").toURL().openConnection() as HttpURLConnection
+        try {
+            c.requestMethod = method
+            c.instanceFollowRedirects = false
+            c.useCaches = false
+            c.connectTimeout = connectTimeout.inWholeMilliseconds.toInt()
+            c.readTimeout = timeout.inWholeMilliseconds.toInt()
+            if (body != null) {
+                c.doOutput = true
+                c.setRequestProperty("Content-Type", "application/cbor")
+                // Streaming mode also keeps the JDK from repeating the request on a fresh connection.
+                c.setFixedLengthStreamingMode(body.size)
+            }
+            c.connect()
+        } catch (e: IOException) {
+            return CallResult.NotSent(e.toString())
+        }
+        try {
+            if (body != null) c.outputStream.use { it.write(body) }
+            val status = c.responseCode
+            val stream = if (status >= 400) c.errorStream else c.inputStream
+            val bytes = stream?.use { it.readAllBytes() } ?: ByteArray(0)
+            val fields = if (bytes.isEmpty()) {
+                emptyMap()
+            } else {
+                try {
+                    Cbor.decodeMap(bytes)
+                } catch (e: MalformedMessage) {
+                    if (status == 200) return CallResult.NoAnswer(e.toString())
+                    emptyMap()
+                }
+            }
+            return CallResult.Answer(status, fields)
+        } catch (e: IOException) {
+            c.disconnect()
+            return CallResult.NoAnswer(e.toString())
+        }
+    }
+
+    companion object {
+        init {
+            System.setProperty("sun.net.http.retryPost", "false")
+            System.setProperty("http.maxConnections", "4")
+        }
+    }
+}
+
+fun InetSocketAddress.hostPort(): String = "${address.hostAddress}:$port"
+
+/** An http4k handler on the JDK's server, with bounds against slow and endless peers. */
+class HttpListener(addr: InetSocketAddress, name: String, threads: Int, handler: HttpHandler) : AutoCloseable {
+    private val serial = AtomicInteger()
+    private val pool = ThreadPoolExecutor(
+        CORE_THREADS, threads, 20, TimeUnit.SECONDS, SynchronousQueue(),
+        { r -> Thread(null, r, "$name-${serial.incrementAndGet()}", STACK).also { it.isDaemon = true } },
+        // Out of threads: the dispatcher itself serves the exchange, which slows intake instead of losing it.
+        ThreadPoolExecutor.CallerRunsPolicy(),
+    )
+    private val server: HttpServer = HttpServer.create(addr, BACKLOG)
+
+    init {
+        server.executor = pool
+        server.createContext("/", HttpExchangeHandler(handler))
+        server.start()
+    }
+
+    val port: Int get() = server.address.port
+
+    override fun close() {
+        server.stop(0)
+        pool.shutdownNow()
+    }
+
+    companion object {
+        private const val CORE_THREADS = 4
+        private const val BACKLOG = 256
+        private const val STACK = 192L * 1024
+
+        /** The JDK server reads these once, when it is first used. */
+        fun configure(maxSockets: Int) {
+            System.setProperty("sun.net.httpserver.nodelay", "true")
+            System.setProperty("sun.net.httpserver.idleInterval", "120")
+            System.setProperty("sun.net.httpserver.maxIdleConnections", (maxSockets / 2).toString())
+            System.setProperty("jdk.httpserver.maxConnections", (maxSockets * 3 / 4).toString())
+            System.setProperty("sun.net.httpserver.maxReqTime", "10")
+            System.setProperty("sun.net.httpserver.maxRspTime", "10")
+        }
+    }
+}
+
+const val MAX_BODY = 64 * 1024
+
+/** Reads a body of at most [MAX_BODY]; null if it is longer. */
+fun Body.bounded(): ByteArray? {
+    val bytes = stream.readNBytes(MAX_BODY + 1)
+    return if (bytes.size > MAX_BODY) null else bytes
+}
+
+fun cbor(status: Status, body: Fields): Response =
+    Response(status).header("Content-Type", "application/cbor").body(Body(ByteBuffer.wrap(Cbor.encode(body))))
+
+/** The refusal that asks the client to come back, and says when. */
+fun tryLater(status: Status = Status.SERVICE_UNAVAILABLE, after: Duration = 1.seconds): Response =
+    cbor(status, mapOf("error" to "try later")).header("Retry-After", after.inWholeSeconds.toString())
--- /dev/null
+++ b/src/main/kotlin/glenspool/peer/Peers.kt
@@ -0,0 +1,87 @@
+package glenspool.peer
+
+import glenspool.config.Member
+import glenspool.http.CallResult
+import glenspool.http.hostPort
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import org.slf4j.LoggerFactory
+import java.io.IOException
+import java.net.HttpURLConnection
+import java.net.URI
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What a controller tells another of itself. */
+@Serializable
+data class PeerStatus(val node: String, val leading: Boolean, val leader: String?, val fresh: Boolean)
+
+/** A user's request, passed on by a node that has lost the state service alone. */
+@Serializable
+data class RelayRequest(val method: String, val path: String, val body: ByteArray)
+
+@Serializable
+data class RelayAnswer(val status: Int, val body: ByteArray, val retryAfter: String?)
+
+@OptIn(ExperimentalSerializationApi::class)
+object PeerWire {
+    private val cbor = Cbor { ignoreUnknownKeys = true }
+
+    fun encode(s: PeerStatus): ByteArray = cbor.encodeToByteArray(s)
+
+    fun encode(r: RelayRequest): ByteArray = cbor.encodeToByteArray(r)
+
+    fun encode(a: RelayAnswer): ByteArray = cbor.encodeToByteArray(a)
+
+    fun status(b: ByteArray): PeerStatus = cbor.decodeFromByteArray(b)
+
+    fun relayRequest(b: ByteArray): RelayRequest = cbor.decodeFromByteArray(b)
+
+    fun relayAnswer(b: ByteArray): RelayAnswer = cbor.decodeFromByteArray(b)
+}
+
+/** Requests to the other controllers. They are hints and relays only: no rule rests on a peer's silence. */
+class PeerClient(private val members: List<Member>) {
+    fun statuses(): List<PeerStatus> = members.mapNotNull { m ->
+        call(m, "/peer/status", null, 700.milliseconds)?.let { PeerWire.status(it) }
+    }
+
+    /** Asks the others in turn; the first that took the request answers for all. */
+    fun relay(r: RelayRequest, timeout: Duration): RelayAnswer? {
+        val bytes = PeerWire.encode(r)
+        for (m in members) {
+            val a = call(m, "/peer/relay", bytes, timeout)?.let { PeerWire.relayAnswer(it) } ?: continue
+            if (a.status < 500) return a
+        }
+        return null
+    }
+
+    private fun call(m: Member, path: String, body: ByteArray?, timeout: Duration): ByteArray? {
+        val c = URI("http://${m.addr.hostPort()}$path").toURL().openConnection() as HttpURLConnection
+        return try {
+            c.connectTimeout = 400
+            c.readTimeout = timeout.inWholeMilliseconds.toInt()
+            c.useCaches = false
+            if (body != null) {
+                c.requestMethod = "POST"
+                c.doOutput = true
+                c.setFixedLengthStreamingMode(body.size)
+                c.outputStream.use { it.write(body) }
+            }
+            if (c.responseCode == 200) c.inputStream.use { it.readAllBytes() } else null
+        } catch (e: IOException) {
+            log.debug("peer {} did not answer: {}", m.name, e.toString())
+            null
+        } catch (e: kotlinx.serialization.SerializationException) {
+            log.warn("peer {} not understood: {}", m.name, e.toString())
+            null
+        }
+    }
+
+    companion object {
+        private val log = LoggerFactory.getLogger(PeerClient::class.java)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/glenspool/state/Keys.kt
@@ -0,0 +1,30 @@
+package glenspool.state
+
+import glenspool.wire.RecordWire
+
+/**
+ * The keys in use. All that a take-over must know is under [LIVE]; final answers are kept apart, for ever, and
+ * are looked up one by one.
+ */
+object Keys {
+    const val LIVE = "g/"
+    const val LEAD = "g/lead"
+    const val TERM = "g/term"
+    const val TYPES = "g/types"
+    const val JOB = "g/j/"
+    const val CANCEL = "g/c/"
+    const val CHUNK = "g/d/"
+    const val FINAL = "f/"
+
+    fun job(id: String) = JOB + id
+
+    fun cancel(id: String) = CANCEL + id
+
+    fun final(id: String) = FINAL + id
+
+    fun chunks(id: String) = "$CHUNK$id/"
+
+    fun chunk(id: String, n: Int) = "$CHUNK$id/$n"
+
+    fun chunkCount(tasks: Int): Int = if (tasks <= RecordWire.INLINE_TASKS) 0 else (tasks + RecordWire.CHUNK_TASKS - 1) / RecordWire.CHUNK_TASKS
+}
--- /dev/null
+++ b/src/main/kotlin/glenspool/wire/Cbor.kt
@@ -0,0 +1,144 @@
+package glenspool.wire
+
+import com.fasterxml.jackson.core.JsonParser
+import com.fasterxml.jackson.core.JsonToken
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory
+import com.fasterxml.jackson.dataformat.cbor.CBORGenerator
+import java.io.ByteArrayOutputStream
+import java.io.IOException
+
+/** A message that can't be understood; the text says which part. */
+class MalformedMessage(message: String) : IOException(message)
+
+typealias Fields = Map<String, Any?>
+
+/**
+ * CBOR by Jackson's streaming interface, to and from plain maps. Neither reflection nor a tree of nodes is
+ * needed, which keeps start-up short on a machine with a fifth of a core.
+ */
+object Cbor {
+    private const val MAX_DEPTH = 32
+    private val factory = CBORFactory()
+
+    fun encode(value: Any?): ByteArray {
+        val out = ByteArrayOutputStream(256)
+        factory.createGenerator(out).use { write(it, value) }
+        return out.toByteArray()
+    }
+
+    /** Reads one map and nothing after it. Binary values, foreign keys and deep nesting are malformed. */
+    fun decodeMap(bytes: ByteArray): Fields {
+        try {
+            factory.createParser(bytes).use { p ->
+                if (p.nextToken() != JsonToken.START_OBJECT) throw MalformedMessage("not a map")
+                val value = readMap(p, 0)
+                if (p.nextToken() != null) throw MalformedMessage("more than one value")
+                return value
+            }
+        } catch (e: MalformedMessage) {
+            throw e
+        } catch (e: IOException) {
+            throw MalformedMessage("not CBOR: ${e.message}")
+        }
+    }
+
+    private fun read(p: JsonParser, depth: Int): Any? = when (p.currentToken()) {
+        JsonToken.START_OBJECT -> readMap(p, depth + 1)
+        JsonToken.START_ARRAY -> {
+            if (depth > MAX_DEPTH) throw MalformedMessage("nested too deeply")
+            val list = ArrayList<Any?>()
+            while (p.nextToken() != JsonToken.END_ARRAY) {
+                if (p.currentToken() == null) throw MalformedMessage("truncated")
+                list.add(read(p, depth + 1))
+            }
+            list
+        }
+        JsonToken.VALUE_STRING -> p.text
+        JsonToken.VALUE_NUMBER_INT -> p.numberValue.let { if (it is java.math.BigInteger) it else it.toLong() }
+        JsonToken.VALUE_NUMBER_FLOAT -> p.doubleValue
+        JsonToken.VALUE_TRUE -> true
+        JsonToken.VALUE_FALSE -> false
+        JsonToken.VALUE_NULL -> null
+        else -> throw MalformedMessage("unexpected ${p.currentToken()}")
+    }
+
+    private fun readMap(p: JsonParser, depth: Int): Fields {
+        if (depth > MAX_DEPTH) throw MalformedMessage("nested too deeply")
+        val map = LinkedHashMap<String, Any?>()
+        while (true) {
+            val t = p.nextToken() ?: throw MalformedMessage("truncated")
+            if (t == JsonToken.END_OBJECT) return map
+            val name = p.currentName() ?: throw MalformedMessage("a key is not text")
+            if (p.nextToken() == null) throw MalformedMessage("truncated")
+            map[name] = read(p, depth)
+        }
+    }
+
+    private fun write(g: CBORGenerator, v: Any?) {
+        when (v) {
+            null -> g.writeNull()
+            is String -> g.writeString(v)
+            is Int -> g.writeNumber(v)
+            is Long -> g.writeNumber(v)
+            is java.math.BigInteger -> g.writeNumber(v)
+            is Double -> g.writeNumber(v)
+            is Boolean -> g.writeBoolean(v)
+            is Map<*, *> -> {
+                g.writeStartObject(v.size)
+                for ((k, x) in v) {
+                    g.writeFieldName(k as String)
+                    write(g, x)
+                }
+                g.writeEndObject()
+            }
+            is Collection<*> -> {
+                g.writeStartArray(v, v.size)
+                for (x in v) write(g, x)
+                g.writeEndArray()
+            }
+            else -> throw IllegalArgumentException("no CBOR form for ${v.javaClass}")
+        }
+    }
+}
+
+fun Fields.text(name: String): String = this[name] as? String ?: throw MalformedMessage("$name: a text is needed")
+
+fun Fields.textOrNull(name: String): String? = when (val v = this[name]) {
+    null -> null
+    is String -> v
+    else -> throw MalformedMessage("$name: a text or null is needed")
+}
+
+fun Fields.amount(name: String): Double {
+    val d = (this[name] as? Number)?.toDouble() ?: throw MalformedMessage("$name: a number is needed")
+    if (!d.isFinite() || d < 0.0 || d > MAX_AMOUNT) throw MalformedMessage("$name: out of range")
+    return d
+}
+
+fun Fields.amountOrNull(name: String): Double? = if (this[name] == null) null else amount(name)
+
+/** Counts, versions and tokens. Those above Long's range never occur in the service's own numbers. */
+fun Fields.count(name: String): Long {
+    val v = this[name]
+    if (v is Long && v >= 0) return v
+    throw MalformedMessage("$name: a whole number is needed")
+}
+
+fun Fields.flag(name: String): Boolean = this[name] as? Boolean ?: throw MalformedMessage("$name: true or false is needed")
+
+fun Fields.flagOr(name: String, default: Boolean): Boolean = this[name] as? Boolean ?: default
+
+@Suppress("UNCHECKED_CAST")
+fun Fields.maps(name: String): List<Fields> {
+    val l = this[name] as? List<*> ?: throw MalformedMessage("$name: a list is needed")
+    if (l.any { it !is Map<*, *> }) throw MalformedMessage("$name: a list of maps is needed")
+    return l as List<Fields>
+}
+
+fun Fields.textsOrNull(name: String): List<String>? {
+    val l = this[name] ?: return null
+    if (l !is List<*>) throw MalformedMessage("$name: a list is needed")
+    return l.map { it as? String ?: throw MalformedMessage("$name: a list of texts is needed") }
+}
+
+private const val MAX_AMOUNT = 1e12
