--- a/src/main/kotlin/glenspool/api/UserApi.kt
+++ b/src/main/kotlin/glenspool/api/UserApi.kt
@@ -70,7 +70,11 @@
         return RelayAnswer(a.status.code, a.body.stream.readAllBytes(), a.header("Retry-After"))
     }
 
-    private fun ready(): Response = if (replica.age() != null) cbor(Status.OK, emptyMap()) else tryLater()
+    /**
+     * A node that listens can take requests: without the state service it passes them on, or tells the user at
+     * once when to come back. Calling it unready would only add the load balancer's pause to an outage's end.
+     */
+    private fun ready(): Response = cbor(Status.OK, emptyMap())
 
     /** Null: this node can't reach the state service. */
     private fun serve(method: Method, path: String, body: ByteArray): Response? {
--- a/src/main/kotlin/glenspool/cli/Main.kt
+++ b/src/main/kotlin/glenspool/cli/Main.kt
@@ -57,6 +57,7 @@
         "--version" -> println("glenspool ${Tuning::class.java.`package`.implementationVersion ?: "development"}")
         "serve" -> return serve(args.drop(1))
         "check-config" -> return checkConfig(args.drop(1))
+        "rehearse" -> return Rehearsal.run()
         else -> throw UsageError("unknown command '${args.first()}'")
     }
     return 0
--- /dev/null
+++ b/src/main/kotlin/glenspool/cli/Rehearsal.kt
@@ -0,0 +1,132 @@
+package glenspool.cli
+
+import glenspool.config.SettingsReader
+import glenspool.controller.Node
+import glenspool.core.Tuning
+import glenspool.http.HttpCaller
+import glenspool.http.HttpListener
+import glenspool.http.cbor
+import glenspool.wire.Cbor
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import java.io.File
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Runs a controller for a moment against canned answers on loopback, so that the build can archive the classes
+ * which a real one loads. Start-up time is down time, and most of it is loading classes on a slow processor.
+ */
+object Rehearsal {
+    private val ledger = AtomicLong(1)
+    private val machineType = mapOf(
+        "name" to "any", "cpus" to 8.0, "accelerators" to 1.0, "memory_gb" to 32.0, "local_gb" to 10.0, "fetch_gb_per_s" to 1.0,
+        "price" to 1.0, "spot_price" to 0.5, "startup_s" to 1.0, "halls" to listOf("here"),
+    )
+    private val job = mapOf(
+        "uid" to "run-000001", "lot" to "any", "crew" to "all", "weave" to "batch", "urgency" to "idle", "threads" to 2,
+        "cpus" to 1.0, "accelerators" to 1.0, "memory_gb" to 1.0, "pattern" to "img", "size_gb" to 1.0, "frames" to null, "hall" to null,
+        "same_place" to false, "apart" to false, "loaners" to true, "expected_s" to 1.0, "knot_s" to 0.0, "knotting_s" to 0.0, "due_s" to 5.0,
+    )
+
+    fun run(): Int {
+        val outside = HttpListener(InetSocketAddress("127.0.0.1", 0), "canned", 8, ::canned)
+        val api = freePort()
+        val file = File.createTempFile("rehearsal", ".toml")
+        try {
+            file.writeText(settings(api, freePort(), outside.port))
+            Node(SettingsReader().read(file), Tuning()).use { node ->
+                node.start()
+                play("127.0.0.1:$api")
+            }
+        } finally {
+            outside.close()
+            if (!file.delete()) System.err.println("glenspool: ${file.path} is left over")
+        }
+        return 0
+    }
+
+    private fun play(addr: String) {
+        val http = HttpCaller(500.milliseconds)
+        Thread.sleep(700)
+        http.post(addr, "/api/jobs", job, 2.seconds)
+        for (n in 1L..4L) {
+            http.get(addr, "/ready", 2.seconds)
+            http.get(addr, "/api/jobs/run-000001", 2.seconds)
+            http.post(addr, "/checkin", report(n), 2.seconds)
+            Thread.sleep(300)
+        }
+        http.post(addr, "/api/jobs/run-000001/withdraw", emptyMap(), 2.seconds)
+        http.call("POST", addr, "/api/jobs", byteArrayOf(1), 2.seconds)
+    }
+
+    private fun report(n: Long): Map<String, Any?> = mapOf(
+        "spindle" to "i-1", "addr" to "127.0.0.1:9", "frame" to "any", "hall" to "here", "loaners" to false, "shift" to 1L, "stitch" to n,
+        "baton" to 1L, "recall_s" to null,
+        "threads" to listOf(mapOf("thread" to "run-000001/0", "try" to 1, "stage" to if (n < 3) "running" else "ended", "cause" to "done")),
+    )
+
+    private fun canned(r: Request): Response {
+        val path = r.uri.path
+        val body: Map<String, Any?> = when {
+            path == "/flavors" -> mapOf("frames" to listOf(machineType))
+            path == "/hosts" -> mapOf("spindles" to emptyList<Any>(), "has_next" to false)
+            path == "/leases" -> mapOf("tenure" to 1)
+            path == "/multi" -> mapOf("ledger" to ledger.incrementAndGet())
+            path == "/follow" -> mapOf("ledger" to ledger.get(), "log" to changes())
+            path == "/store" -> mapOf("rows" to emptyList<Any>(), "has_next" to false, "ledger" to 0)
+            path.startsWith("/store/") -> return cbor(Status.NOT_FOUND, mapOf("ledger" to ledger.get()))
+            else -> emptyMap()
+        }
+        if (r.method == Method.POST) Cbor.decodeMap(r.body.stream.readAllBytes())
+        return cbor(Status.OK, body)
+    }
+
+    /** A job that is stored already, so that the core has something to place. */
+    private fun changes(): List<Map<String, Any?>> = if (ledger.get() % 3 != 0L) {
+        emptyList()
+    } else {
+        listOf(mapOf("set" to "g/j/run-000001", "data" to mapOf("job" to job, "at" to 0, "last" to 0), "mark" to ledger.get()))
+    }
+
+    private fun freePort(): Int = ServerSocket(0).use { it.localPort }
+
+    private fun settings(api: Int, internal: Int, outside: Int) = """
+        host_name = "rehearsal"
+        location = "here"
+        api_addr = "127.0.0.1:$api"
+        internal_addr = "127.0.0.1:$internal"
+        [outside]
+        cloud = "127.0.0.1:$outside"
+        state = "127.0.0.1:$outside"
+        [settings]
+        initial_size = 1
+        zones = ["here"]
+        skew_ms = 5.0
+        [[settings.teams]]
+        name = "all"
+        cpus = 0.0
+        cpus_max = 0.0
+        gpus = 0.0
+        gpus_max = 0.0
+        [settings.workers]
+        report_s = 1.0
+        lease_s = 10.0
+        gang_wait_s = 10.0
+        gang_peer_s = 5.0
+        cancel_s = 30.0
+        [settings.state]
+        rps = 100.0
+        write_rps = 50.0
+        value_kb = 16.0
+        txn_ops = 16
+        [settings.cloud]
+        rps = 5.0
+        list_lag_s = 1.0
+    """.trimIndent()
+}
