Gangs: uncached machines first, fetches are let through; ends a restart livelock

Cause: on the small deployment an image can take longer to fetch than gang_wait_s; tasks with a cached image gave up, the rest was stopped together with its fetch, and every attempt met the same wait.

--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -291,7 +291,7 @@
                         continue
                     }
                     p.step = Step.ORDERED
-                    machines[p.machine]?.orders?.add(StartTask(p.key, p.attempt))
+                    if (!p.deferred) machines[p.machine]?.orders?.add(StartTask(p.key, p.attempt))
                 }
             }
         }
@@ -571,7 +571,7 @@
         if (job.spec.kind == JobKind.GANG && !job.cancelled && job.placements.isNotEmpty()) tendGang(job)
         for (p in job.placements.values) {
             val m = machines[p.machine] ?: continue
-            if (p.step == Step.ORDERED && p.startSent == null && now >= m.directRetry && m.orders.none { it.key == p.key && it.attempt == p.attempt }) {
+            if (p.step == Step.ORDERED && p.startSent == null && !p.deferred && now >= m.directRetry && m.orders.none { it.key == p.key && it.attempt == p.attempt }) {
                 m.orders.add(StartTask(p.key, p.attempt))
             }
             if (p.step == Step.ORDERED && m.loose.any { it.key == p.key } && p.startSent.let { it != null && now - it > 2.seconds }) {
@@ -586,11 +586,31 @@
         }
     }
 
-    /** A gang that lost a task falls back as a whole: what is left is stopped, and a new attempt starts it anew. */
+    /**
+     * A gang whose tasks are on machines with and without the image: those without start first, since a task
+     * that has its image gives up when the others take longer than the gang's waiting time.
+     */
+    private fun deferCached(job: Job) {
+        val (cached, fetching) = job.placements.values.partition { machines[it.machine]?.hasImage(job.spec.image) == true }
+        if (fetching.isEmpty()) return
+        cached.forEach { it.deferred = true }
+    }
+
     private fun tendGang(job: Job) {
-        val remaining = job.spec.tasks - job.done.cardinality()
-        if (job.placements.size >= remaining && job.placements.values.none { it.stop != null }) return
-        val grace = if (job.placements.size >= remaining) job.spec.save + GRACE_SLACK else Duration.ZERO
+        val all = job.placements.values.toList()
+        val missing = all.size < job.spec.tasks - job.done.cardinality()
+        val stopping = all.any { it.stop != null }
+        if (!missing && !stopping) {
+            if (all.any { it.deferred } && all.all { it.deferred || (it.state != null && it.state != TaskState.FETCHING) }) all.forEach { it.deferred = false }
+            return
+        }
+        // Places that were only reserved are given up at once: no start was ever sent.
+        all.filter { it.deferred && it.startSent == null }.forEach(::drop)
+        val started = job.gangStarted || all.any { it.state == TaskState.RUNNING || it.state == TaskState.SAVING }
+        // Before the start, fetches under way are let through: stopping them would throw the image away, and the
+        // next attempt would run into the same waiting time for ever.
+        if (!started && !stopping && job.placements.values.any { it.state == null || it.state == TaskState.FETCHING }) return
+        val grace = if (!missing) job.spec.save + GRACE_SLACK else Duration.ZERO
         for (p in job.placements.values) {
             if (p.stop == null && p.step != Step.INTENDED) stop(p, StopReason.GANG_BROKEN, grace)
         }
@@ -777,6 +797,8 @@
         charge(job, +1)
     }
 
+    override fun gangPlaced(job: Job) = deferCached(job)
+
     override fun newGangAttempt(job: Job): Long {
         job.gangStarted = false
         return (++job.lastAttempt).also { job.gangAttempt = it }
--- a/src/main/kotlin/glenspool/core/lifecycle/Job.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Job.kt
@@ -38,6 +38,9 @@
     /** The job's change count that has to be stored before the start command may be sent. */
     var storedAt = 0L
     var startSent: Duration? = null
+
+    /** The start waits until the gang's other tasks have their image; a waiting task gives up after a while. */
+    var deferred = false
     var runningSince: Duration? = null
     var stop: StopReason? = null
     var stopGrace: Duration = Duration.ZERO
--- a/src/main/kotlin/glenspool/core/placement/Round.kt
+++ b/src/main/kotlin/glenspool/core/placement/Round.kt
@@ -38,6 +38,9 @@
 
     fun newGangAttempt(job: Job): Long
 
+    /** All tasks of the gang have their places. */
+    fun gangPlaced(job: Job)
+
     /** A time that orders jobs of the same priority: who should start first. */
     fun order(job: Job): Duration
 
@@ -91,6 +94,7 @@
             view.place(job, task, m, attempt)
             free[m] = free.getValue(m) - job.need
         }
+        view.gangPlaced(job)
         return true
     }
 
