Retire surplus machines, rent for arrays by drain time

Cause: every machine kept a little array work, so none emptied; arrays rented ordinary machines at once.

--- a/src/main/kotlin/glenspool/core/capacity/Capacity.kt
+++ b/src/main/kotlin/glenspool/core/capacity/Capacity.kt
@@ -90,18 +90,119 @@
         val waiting = core.jobs.values
             .filter { !it.cancelled && !it.complete && it.waitingCount() > 0 && it.failedOn.size < 3 }
             .sortedWith(compareByDescending<Job> { it.rank }.thenBy { it.submitted })
-        for (job in waiting) pack(job, virtual, now)
+        if (waiting.isNotEmpty()) keepAgain()
+        val (arrays, whole) = waiting.partition { it.spec.kind == JobKind.ARRAY }
+        for (job in whole) pack(job, virtual, now)
         packHeadroom(virtual, now)
+        packArrays(arrays, virtual, now)
         order(virtual)
+        if (waiting.isEmpty()) retireSurplus(now) else surplusSince = null
         giveBack(now)
     }
 
+    /**
+     * Arrays run through their places one after another, so they need new machines only when the backlog would
+     * take too long to drain: sooner for cheap spot machines than for ordinary ones.
+     */
+    private fun packArrays(jobs: List<Job>, virtual: MutableList<Virtual>, now: Duration) {
+        var work = Duration.ZERO
+        var places = core.jobs.values.sumOf { j -> if (j.spec.kind == JobKind.ARRAY) j.placements.size else 0 } +
+            virtual.sumOf { v -> jobs.firstOrNull()?.let { fitsInto(it.need, v.room) } ?: 0 }
+        for (job in jobs) {
+            if (now - job.seenAt < ARRAY_PATIENCE) continue
+            val spec = job.spec
+            val each = maxOf(spec.estimate, 2.seconds)
+            val slack = slackOf(job)
+            val lead = leadTime(spec)
+            val spotPatience = maxOf(lead * 0.5, slack * 0.25)
+            val ordinaryPatience = maxOf(lead * 1.5, slack * 0.5)
+            repeat(minOf(job.waitingCount(), core.teamRoom(job), MAX_PER_JOB)) {
+                if (place(spec, virtual, null)) return@repeat
+                work += each
+                val drain = work / maxOf(places, 1)
+                val patience = if (spec.spot) spotPatience else minOf(spotPatience, ordinaryPatience)
+                if (drain <= patience) return@repeat
+                val v = fresh(spec, virtual, null, now, if (spec.spot) true else null)
+                    ?: (if (drain > ordinaryPatience) fresh(spec, virtual, null, now, null) else null)
+                    ?: return@repeat
+                virtual.add(v)
+                places += fitsInto(spec.need, v.room)
+                place(spec, virtual, null)
+                work -= each
+            }
+        }
+    }
+
+    private fun fitsInto(need: Amount, room: Amount): Int {
+        var n = 0
+        var r = room
+        while (need.fits(r) && n < 64) {
+            r -= need
+            n++
+        }
+        return n
+    }
+
+    /** How long the job may wait for its places without being late. */
+    private fun slackOf(job: Job): Duration {
+        val spec = job.spec
+        val deadline = spec.deadline
+        if (deadline != null) return maxOf(Duration.ZERO, deadline - spec.estimate)
+        val within = core.config.objectives.filter { it.jobClass == spec.jobClass && it.within != null }.mapNotNull { it.within }.minOrNull()
+        return if (within == null) 60.seconds else maxOf(Duration.ZERO, within - spec.estimate)
+    }
+
+    /** From the rental request until a task runs. */
+    private fun leadTime(spec: JobSpec): Duration {
+        val t = core.types.values.firstOrNull { spec.need.fits(it.room) } ?: return 60.seconds
+        return t.boot * 1.1 + (spec.imageGb / t.fetchGbPerS.coerceAtLeast(0.01)).seconds
+    }
+
+    private var surplusSince: Duration? = null
+
+    /** Waiting work takes machines back that were about to be returned. */
+    private fun keepAgain() {
+        for (m in core.machines.values) m.retiring = false
+    }
+
+    /**
+     * Machines are kept busy a little each, so none would ever become empty by itself: when the fleet has had
+     * more than a cushion of room for a while, the dearest machine with only short work gets no more of it.
+     */
+    private fun retireSurplus(now: Duration) {
+        val ready = core.machines.values.filter { it.trusted && !it.deleting && !it.failed && it.notice == null && it.type in core.types }
+        val active = ready.filter { !it.retiring }
+        val load = active.sumOf { m -> share(m) }
+        if (active.size - load <= 1.0 + active.size * CUSHION) {
+            surplusSince = null
+            return
+        }
+        val since = surplusSince ?: now.also { surplusSince = now }
+        if (now - since < SURPLUS_WAIT) return
+        val candidates = active.filter { m -> m.placements.values.all { it.job.spec.kind == JobKind.ARRAY } && m.strays.isEmpty() }
+            .sortedWith(compareByDescending<Machine> { price(it) }.thenBy { share(it) })
+        for (m in candidates) {
+            m.retiring = true
+            if (arrivals.values.none { a -> allowed(a.spec, m) && freeSlots(a.spec) < headroomFor(a, now) }) {
+                surplusSince = now - SURPLUS_WAIT + 2.seconds
+                return
+            }
+            m.retiring = false
+        }
+    }
+
+    /** How much of the machine is in use, by its fullest resource. */
+    private fun share(m: Machine): Double {
+        val t = core.types[m.type]?.room ?: return 0.0
+        val u = m.used()
+        return maxOf(u.cpus / t.cpus.coerceAtLeast(1e-9), if (t.gpus > 0) u.gpus / t.gpus else 0.0, u.memoryGb / t.memoryGb.coerceAtLeast(1e-9))
+    }
+
     private fun pack(job: Job, virtual: MutableList<Virtual>, now: Duration) {
         var n = minOf(job.waitingCount(), core.teamRoom(job), MAX_PER_JOB)
         if (job.spec.kind == JobKind.GANG) {
             if (core.teamRoom(job) < job.waitingCount()) return
         }
-        if (job.spec.kind == JobKind.ARRAY && now - job.seenAt < ARRAY_PATIENCE) return
         var zone: String? = null
         if (job.spec.sameZone) zone = virtual.groupingBy { it.offer.zone }.eachCount().maxByOrNull { it.value }?.key
         while (n > 0) {
@@ -111,23 +212,30 @@
     }
 
     private fun put(spec: JobSpec, virtual: MutableList<Virtual>, zone: String?, now: Duration): Boolean {
+        if (place(spec, virtual, zone)) return true
+        virtual.add(fresh(spec, virtual, zone, now, null) ?: return false)
+        return place(spec, virtual, zone)
+    }
+
+    private fun place(spec: JobSpec, virtual: List<Virtual>, zone: String?): Boolean {
         val v = virtual.firstOrNull { v ->
             (spec.types == null || v.offer.type in spec.types) && (spec.zone == null || spec.zone == v.offer.zone) &&
                 (spec.spot || !v.offer.spot) && (zone == null || zone == v.offer.zone) && spec.need.fits(v.room)
-        } ?: fresh(spec, virtual, zone, now)?.also { virtual.add(it) } ?: return false
+        } ?: return false
         v.room -= spec.need
         v.tasks++
         return true
     }
 
     /** The cheapest kind of machine for the task that is not known to be refused, in the zone with fewest machines. */
-    private fun fresh(spec: JobSpec, virtual: List<Virtual>, zone: String?, now: Duration): Virtual? {
+    private fun fresh(spec: JobSpec, virtual: List<Virtual>, zone: String?, now: Duration, onlySpot: Boolean?): Virtual? {
         val offers = ArrayList<Pair<Offer, MachineType>>()
         for (t in core.types.values) {
             if (spec.types != null && t.name !in spec.types || !spec.need.fits(t.room)) continue
             for (z in t.zones.ifEmpty { core.config.zones }) {
                 if (spec.zone != null && spec.zone != z || zone != null && zone != z) continue
                 for (spot in if (spec.spot) listOf(true, false) else listOf(false)) {
+                    if (onlySpot != null && spot != onlySpot) continue
                     val o = Offer(t.name, z, spot)
                     if ((refusedUntil[o] ?: Duration.ZERO) <= now) offers.add(o to t)
                 }
@@ -135,22 +243,12 @@
         }
         val counts = core.machines.values.groupingBy { it.zone }.eachCount()
         val best = offers.minWithOrNull(
-            compareBy<Pair<Offer, MachineType>> { (o, t) -> (if (o.spot) t.spotPrice else t.price) / perMachine(spec, t) }
+            compareBy<Pair<Offer, MachineType>> { (o, t) -> (if (o.spot) t.spotPrice else t.price) / maxOf(1, fitsInto(spec.need, t.room)) }
                 .thenBy { (o, _) -> (counts[o.zone] ?: 0) + virtual.count { it.fresh && it.offer.zone == o.zone } },
         ) ?: return null
         return Virtual(best.first, best.second.room, true)
     }
 
-    private fun perMachine(spec: JobSpec, t: MachineType): Int {
-        var n = 0
-        var room = t.room
-        while (spec.need.fits(room) && n < 64) {
-            room -= spec.need
-            n++
-        }
-        return maxOf(1, n)
-    }
-
     /** How many tasks of the class are likely to arrive while another machine could be got ready. */
     private fun headroomFor(a: ArrivalRate, now: Duration): Int {
         val since = a.since ?: return 0
@@ -166,7 +264,7 @@
     private fun freeSlots(spec: JobSpec, skip: Machine? = null): Int {
         var n = 0
         for (m in core.machines.values) {
-            if (m === skip || m.deleting || m.failed || m.notice != null || !m.trusted || !allowed(spec, m)) continue
+            if (m === skip || m.retiring || m.deleting || m.failed || m.notice != null || !m.trusted || !allowed(spec, m)) continue
             val t = core.types[m.type] ?: continue
             // Room that lower work holds can be freed at once, so it counts as spare.
             var room = m.free(t)
@@ -205,17 +303,27 @@
                 continue
             }
             val since = m.idleSince ?: now.also { m.idleSince = now }
-            if (now - since < core.config.tuning.idleReturn) continue
-            if (arrivals.values.any { a -> allowed(a.spec, m) && freeSlots(a.spec, m) < headroomFor(a, now) }) continue
+            if (!m.retiring && now - since < idleBound(m)) continue
+            if (!m.retiring && arrivals.values.any { a -> allowed(a.spec, m) && freeSlots(a.spec, m) < headroomFor(a, now) }) continue
             core.returnMachine(m)
             return
         }
     }
 
+    /** Keeping an empty machine is worth as long as getting another one ready would take. */
+    private fun idleBound(m: Machine): Duration {
+        val t = core.types[m.type] ?: return core.config.tuning.idleReturn
+        val images = core.jobs.values.map { it.spec.imageGb }
+        val gb = if (images.isEmpty()) 0.0 else images.average()
+        return core.config.tuning.idleReturn + (t.boot + (gb / t.fetchGbPerS.coerceAtLeast(0.01)).seconds) * 0.5
+    }
+
     private fun price(m: Machine): Double = core.types[m.type]?.let { if (m.spot) it.spotPrice else it.price } ?: 0.0
 
     companion object {
         private const val RECENT = 200
+        private const val CUSHION = 0.08
+        private val SURPLUS_WAIT = 10.seconds
         private const val MAX_RENT = 50
         private const val MAX_OPEN = 6
         private const val MAX_PER_JOB = 400
--- a/src/main/kotlin/glenspool/core/cluster/Machine.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Machine.kt
@@ -40,6 +40,8 @@
     var deleting = false
     var deleteSent: Duration? = null
     var draining = false
+    /** Gets no more short work, so that it becomes empty and can be returned. */
+    var retiring = false
     var idleSince: Duration? = null
     var usedAt: Duration? = null
     var age: Duration = Duration.ZERO
