--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -804,12 +804,27 @@
         return (++job.lastAttempt).also { job.gangAttempt = it }
     }
 
+    /**
+     * The latest time at which the job's next task should start to meet the first aim that it still can; jobs
+     * that can meet none come last. Work that is late anyway must not make other work late.
+     */
     override fun order(job: Job): Duration {
         val s = job.spec
-        val deadline = s.deadline ?: return job.submitted + 60.seconds
-        return job.submitted + deadline - s.estimate * 1.3
+        val run = s.estimate * ESTIMATE_MARGIN
+        // A deadline follows from an estimate that is often wrong: such a job is never written off.
+        if (s.deadline != null) return job.submitted + s.deadline - s.estimate * DEADLINE_MARGIN
+        for (b in finishBounds[s.jobClass] ?: listOf(60.seconds + run)) {
+            val latest = job.submitted + b - run
+            if (latest >= wall) return latest
+        }
+        return job.submitted + HOPELESS
     }
 
+    private val finishBounds: Map<String, List<Duration>> = config.objectives
+        .filter { it.kind == "finished" && it.jobClass != null && it.within != null }
+        .groupBy({ it.jobClass.orEmpty() }, { it.within ?: Duration.ZERO })
+        .mapValues { (_, l) -> l.sorted() }
+
     override fun recordRoom(job: Job): Int = (config.valueBytes - RECORD_BASE) / BYTES_PER_INTENT - job.placements.size
 
     override fun avoids(job: Job, machine: Machine): Boolean = machine.id in job.failedOn && job.failedOn.size < 4
@@ -818,6 +833,9 @@
 
     companion object {
         private val MIN_ROUND_GAP = 30.milliseconds
+        private const val ESTIMATE_MARGIN = 1.15
+        private const val DEADLINE_MARGIN = 1.3
+        private val HOPELESS = 3600.seconds
         private val STALL = 3.seconds
         private val SOFT_DELAY = 1500.milliseconds
         private val LOOSE_PATIENCE = 1.seconds
