--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -7,18 +7,15 @@
 import glenspool.core.Delete
 import glenspool.core.Direct
 import glenspool.core.DirectOutcome
-import glenspool.core.FinishJob
 import glenspool.core.Probe
 import glenspool.core.RaiseToken
 import glenspool.core.Rent
-import glenspool.core.SaveJob
 import glenspool.core.Scheduler
 import glenspool.core.SchedulerConfig
 import glenspool.core.Store
 import glenspool.core.StoreOutcome
 import glenspool.core.Tuning
 import glenspool.core.model.Command
-import glenspool.core.model.JobRecord
 import glenspool.core.model.ListedMachine
 import glenspool.core.model.MachineType
 import glenspool.core.model.Report
@@ -30,12 +27,10 @@
 import glenspool.wire.CloudWire
 import glenspool.wire.Fields
 import glenspool.wire.MalformedMessage
-import glenspool.wire.RecordWire
 import glenspool.wire.StateWire
 import glenspool.wire.count
 import glenspool.worker.WorkerClient
 import org.slf4j.LoggerFactory
-import java.util.BitSet
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.LinkedBlockingQueue
@@ -220,7 +215,7 @@
             when {
                 c.key.startsWith(Keys.JOB) -> {
                     val id = c.key.removePrefix(Keys.JOB)
-                    if (value == null) jobGone(id) else if (id in jobs) jobs.getValue(id).let { if (c.version > it.version) it.version = c.version } else jobStored(whole(RecordWire.decode(value)), c.version)
+                    if (value == null) jobGone(id) else if (id in jobs) jobs.getValue(id).let { if (c.version > it.version) it.version = c.version } else jobStored(wholeRecord(value, replica.under(Keys.chunks(id))), c.version)
                 }
                 c.key.startsWith(Keys.CANCEL) && value != null ->
                     jobCancelled(c.key.removePrefix(Keys.CANCEL), c.version, value.count("at").milliseconds)
@@ -230,23 +225,6 @@
         }
     }
 
-    /** Adds the done bits that large jobs keep in chunks of their own. */
-    private fun whole(r: JobRecord): JobRecord {
-        val chunks = replica.under(Keys.chunks(r.spec.id))
-        if (chunks.isEmpty()) return r
-        val done = r.done.clone() as BitSet
-        for (c in chunks) {
-            val n = c.key.substringAfterLast('/').toInt()
-            val bits = RecordWire.decodeBits(c.value["done"] as String)
-            var b = bits.nextSetBit(0)
-            while (b >= 0) {
-                done.set(n * RecordWire.CHUNK_TASKS + b)
-                b = bits.nextSetBit(b + 1)
-            }
-        }
-        return r.copy(done = done)
-    }
-
     private fun perform(a: Action, s: Session) {
         when (a) {
             is Direct -> call({ post(Event.DirectEnded(a, DirectOutcome.NOT_SENT, null)) }) {
@@ -303,31 +281,7 @@
     }
 
     private fun transact(term: Term, store: Store): StoreOutcome {
-        val conditions = LinkedHashMap<String, Long>()
-        // A deposed leader's writes fail on this however late they arrive.
-        conditions[Keys.LEAD] = term.mark
-        val puts = ArrayList<Put>()
-        val removes = ArrayList<String>()
-        for (w in store.writes) {
-            conditions[Keys.job(w.id)] = w.version
-            when (w) {
-                is SaveJob -> {
-                    if (w.needsUncancelled) conditions[Keys.cancel(w.id)] = 0
-                    puts.add(Put(Keys.job(w.id), RecordWire.encode(w.record)))
-                    for (c in w.chunks) {
-                        val from = c * RecordWire.CHUNK_TASKS
-                        puts.add(Put(Keys.chunk(w.id, c), mapOf("done" to RecordWire.encodeBits(w.record.done.get(from, from + RecordWire.CHUNK_TASKS)))))
-                    }
-                }
-                is FinishJob -> {
-                    conditions[Keys.cancel(w.id)] = w.cancelVersion ?: 0
-                    val word = if (w.cancelVersion == null) "done" else "cancelled"
-                    puts.add(Put(Keys.final(w.id), mapOf("end" to word, "tasks" to w.tasks)))
-                    removes.add(Keys.job(w.id))
-                    if (w.cancelVersion != null) removes.add(Keys.cancel(w.id))
-                }
-            }
-        }
+        val (conditions, puts, removes) = transactionOf(term.mark, store)
         val r = state.transact(conditions, puts, removes)
         if (log.isDebugEnabled) log.debug("store {} -> {}", store.writes.map { it.id }, r)
         return when (r) {
--- /dev/null
+++ b/src/main/kotlin/glenspool/controller/Transactions.kt
@@ -0,0 +1,59 @@
+package glenspool.controller
+
+import glenspool.core.FinishJob
+import glenspool.core.SaveJob
+import glenspool.core.Store
+import glenspool.state.Keys
+import glenspool.state.Put
+import glenspool.wire.Fields
+import glenspool.wire.RecordWire
+import glenspool.core.model.JobRecord
+import glenspool.wire.StateWire
+import java.util.BitSet
+
+/** A transaction in the state service's terms. */
+data class Transaction(val conditions: Map<String, Long>, val puts: List<Put>, val removes: List<String>)
+
+/** Turns the core's writes into one transaction that holds only under the leadership record's version [mark]. */
+fun transactionOf(mark: Long, store: Store): Transaction {
+    val conditions = LinkedHashMap<String, Long>()
+    // A deposed leader's writes fail on this however late they arrive.
+    conditions[Keys.LEAD] = mark
+    val puts = ArrayList<Put>()
+    val removes = ArrayList<String>()
+    for (w in store.writes) {
+        // Nor may an older write of this same leader, arriving late, undo a newer one.
+        conditions[Keys.job(w.id)] = w.version
+        when (w) {
+            is SaveJob -> {
+                if (w.needsUncancelled) conditions[Keys.cancel(w.id)] = 0
+                puts.add(Put(Keys.job(w.id), RecordWire.encode(w.record)))
+                for (c in w.chunks) {
+                    val from = c * RecordWire.CHUNK_TASKS
+                    puts.add(Put(Keys.chunk(w.id, c), mapOf("done" to RecordWire.encodeBits(w.record.done.get(from, from + RecordWire.CHUNK_TASKS)))))
+                }
+            }
+            is FinishJob -> {
+                // Done and cancelled exclude each other: a cancellation is stored only while no final state is.
+                conditions[Keys.cancel(w.id)] = w.cancelVersion ?: 0
+                val word = if (w.cancelVersion == null) "done" else "cancelled"
+                puts.add(Put(Keys.final(w.id), mapOf("end" to word, "tasks" to w.tasks.toLong())))
+                removes.add(Keys.job(w.id))
+                if (w.cancelVersion != null) removes.add(Keys.cancel(w.id))
+            }
+        }
+    }
+    return Transaction(conditions, puts, removes)
+}
+
+/** Reads a job's record with the done bits that large jobs keep in chunks of their own. */
+fun wholeRecord(value: Fields, chunks: Collection<StateWire.Item>): JobRecord {
+    val r = RecordWire.decode(value)
+    if (chunks.isEmpty()) return r
+    val done = r.done.clone() as BitSet
+    for (c in chunks) {
+        val n = c.key.substringAfterLast('/').toInt()
+        RecordWire.decodeBits(c.value["done"] as String).stream().forEach { done.set(n * RecordWire.CHUNK_TASKS + it) }
+    }
+    return r.copy(done = done)
+}
--- /dev/null
+++ b/src/test/kotlin/glenspool/core/WorldTest.kt
@@ -0,0 +1,94 @@
+package glenspool.core
+
+import glenspool.core.model.Amount
+import glenspool.core.model.JobKind
+import glenspool.core.model.Priority
+import glenspool.core.model.Team
+import glenspool.standin.Weather
+import glenspool.standin.World
+import glenspool.standin.bigType
+import glenspool.standin.config
+import glenspool.standin.job
+import glenspool.standin.leanType
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import java.util.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Whole days in simulated time, with every rule checked at every start and every tick. */
+class WorldTest {
+    private val teams = listOf(Team("t0", 0.0, 0.0, null, null), Team("t1", 0.0, 4.0, null, 12.0), Team("t2", 0.0, 0.0, null, 6.0))
+
+    private fun world(seed: Long, weather: Weather): World {
+        val w = World(seed, config(teams), listOf(bigType, leanType), weather)
+        for (i in 0 until 6) w.addMachine(if (i % 3 == 2) leanType else bigType, if (i % 2 == 0) "a" else "b", false, Duration.ZERO)
+        w.elect()
+        return w
+    }
+
+    private fun randomJob(r: Random, n: Int) = when (r.nextInt(4)) {
+        0 -> job("s-$n", JobKind.SERVICE, 1 + r.nextInt(3), team = "t${r.nextInt(3)}", priority = Priority.CRITICAL, spread = r.nextBoolean(), image = "i${r.nextInt(3)}")
+        1 -> job("g-$n", JobKind.GANG, 1 + r.nextInt(4), Amount(4.0, 2.0, 16.0).let { if (r.nextBoolean()) it else Amount(2.0, 1.0, 4.0) }, "t0", Priority.URGENT, sameZone = r.nextBoolean(), image = "i${r.nextInt(3)}", imageGb = 1.0 + r.nextInt(9))
+        2 -> job("c-$n", JobKind.ARRAY, 1 + r.nextInt(5), Amount(2.0, 0.0, 20.0), "t${r.nextInt(3)}", Priority.IDLE, zone = listOf(null, "a", "b")[r.nextInt(3)], spot = true, checkpoint = 3.seconds)
+        else -> job("a-$n", JobKind.ARRAY, 1 + r.nextInt(6), team = "t${r.nextInt(3)}", types = if (r.nextBoolean()) null else listOf("big"), spot = r.nextBoolean(), image = "i${r.nextInt(3)}")
+    }
+
+    private fun play(seed: Long, weather: Weather): World {
+        val w = world(seed, weather)
+        val r = Random(seed * 31)
+        val ids = ArrayList<String>()
+        for (n in 0 until 30) {
+            val j = randomJob(r, n)
+            w.submit(j)
+            ids.add(j.id)
+            w.run(w.now + (r.nextInt(8)).seconds)
+            if (r.nextInt(5) == 0) w.cancel(ids[r.nextInt(ids.size)])
+        }
+        w.run(w.now + 200.seconds)
+        w.run(w.now + 500.seconds, calm = true)
+        assertEquals(emptyList<String>(), w.violations, "seed $seed")
+        for (id in ids.filter { it.startsWith("s-") }) {
+            val whole = w.end(id) == "cancelled" || w.runningReplicas(id) == w.specs.getValue(id).tasks || w.teamIsFull(id)
+            assertTrue(whole, "seed $seed: $id has ${w.runningReplicas(id)} replicas of ${w.specs.getValue(id).tasks}: ${w.describe(id)}")
+            if (w.live(id)) assertTrue(w.cancel(id))
+        }
+        w.run(w.now + 400.seconds, calm = true)
+        assertEquals(emptyList<String>(), w.violations, "seed $seed")
+        for (id in ids) assertTrue(w.end(id) != null, "seed $seed: $id has not ended, done ${w.trulyDone[id]}: ${w.describe(id)}")
+        return w
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3])
+    fun `on a quiet day everything runs`(seed: Long) {
+        assertTrue(play(seed, Weather()).starts > 30)
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [11, 12, 13, 14, 15, 16])
+    fun `lost and held messages break no rule`(seed: Long) {
+        play(seed, Weather(lost = 0.1, held = 0.1))
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [21, 22, 23, 24, 25, 26])
+    fun `machines that die, hang, are cut off or taken break no rule`(seed: Long) {
+        play(seed, Weather(deaths = 0.02, cuts = 0.04, hangs = 0.04, notices = 0.05))
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [31, 32, 33, 34, 35, 36])
+    fun `leaders that change amid held messages and outages break no rule`(seed: Long) {
+        play(seed, Weather(lost = 0.05, held = 0.08, takeovers = 0.03, outages = 0.02, cuts = 0.02, hangs = 0.02, deaths = 0.01))
+    }
+
+    @Test
+    fun `the same seed gives the same day`() {
+        val weather = Weather(lost = 0.05, held = 0.05, takeovers = 0.02, deaths = 0.01)
+        assertEquals(play(41, weather).state.revision, play(41, weather).state.revision)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/glenspool/standin/World.kt
@@ -0,0 +1,521 @@
+package glenspool.standin
+
+import glenspool.controller.Transaction
+import glenspool.controller.transactionOf
+import glenspool.controller.wholeRecord
+import glenspool.core.Action
+import glenspool.core.Delete
+import glenspool.core.Direct
+import glenspool.core.DirectOutcome
+import glenspool.core.Probe
+import glenspool.core.RaiseToken
+import glenspool.core.Rent
+import glenspool.core.Scheduler
+import glenspool.core.SchedulerConfig
+import glenspool.core.Store
+import glenspool.core.StoreOutcome
+import glenspool.core.model.Command
+import glenspool.core.model.Exit
+import glenspool.core.model.ForgetTask
+import glenspool.core.model.JobKind
+import glenspool.core.model.JobRecord
+import glenspool.core.model.JobSpec
+import glenspool.core.model.ListedMachine
+import glenspool.core.model.MachineStage
+import glenspool.core.model.MachineType
+import glenspool.core.model.Report
+import glenspool.core.model.ReportedTask
+import glenspool.core.model.StartTask
+import glenspool.core.model.StopTask
+import glenspool.core.model.TaskKey
+import glenspool.core.model.TaskState
+import glenspool.state.Keys
+import glenspool.state.Put
+import glenspool.wire.RecordWire
+import glenspool.wire.StateWire
+import java.util.BitSet
+import java.util.PriorityQueue
+import java.util.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** How bad the world is. */
+data class Weather(
+    val lost: Double = 0.0,
+    val held: Double = 0.0,
+    val deaths: Double = 0.0,
+    val cuts: Double = 0.0,
+    val hangs: Double = 0.0,
+    val takeovers: Double = 0.0,
+    val outages: Double = 0.0,
+    val notices: Double = 0.0,
+)
+
+/**
+ * State service, cloud and workers in simulated time, round the real core, with a checker for every rule that
+ * the core can break. Messages may be lost or held back for minutes; leaders are replaced while their commands
+ * and transactions are still on their way.
+ */
+class World(seed: Long, private val config: SchedulerConfig, private val types: List<MachineType>, private val weather: Weather) {
+    private val random = Random(seed)
+    private class Timed(val at: Duration, val order: Long, val body: () -> Unit)
+
+    private val queue = PriorityQueue(compareBy<Timed> { it.at }.thenBy { it.order })
+    private var order = 0L
+    var now: Duration = Duration.ZERO
+        private set
+    val state = StateStandIn().also { it.opsLimit = config.txnOps }
+    private var token = 0L
+    private var leadMark = 0L
+    private var leader: Scheduler? = null
+    private var stateDownUntil = Duration.ZERO
+    private var applied = 0L
+
+    val specs = HashMap<String, JobSpec>()
+    private val cancelled = HashMap<String, Duration>()
+    val trulyDone = HashMap<String, BitSet>()
+    val violations = ArrayList<String>()
+    var starts = 0
+
+    private inner class Worker(val id: String, val type: MachineType, val zone: String, val spot: Boolean) {
+        var session = 1L
+        var seq = 0L
+        var seen = 0L
+        val tasks = LinkedHashMap<TaskKey, Task>()
+        var up = false
+        var gone = false
+        var cutUntil = Duration.ZERO
+        var hungUntil = Duration.ZERO
+        var answered = now
+        var recallAt: Duration? = null
+        val images = HashSet<String>()
+        val rentedAt = now
+        val hanging get() = now < hungUntil
+
+        fun report() = Report(
+            id, "addr-$id", type.name, zone, spot, session, ++seq, seen, recallAt?.let { it - now },
+            tasks.map { (k, t) -> ReportedTask(k, t.attempt, t.state, t.exit, false) },
+        )
+    }
+
+    private class Task(val attempt: Long, var state: TaskState, var at: Duration, var exit: Exit? = null)
+
+    private val workers = LinkedHashMap<String, Worker>()
+    private val requests = HashMap<String, List<String>>()
+    private var lists = ArrayList<Pair<Duration, List<ListedMachine>>>()
+    private var serial = 0
+
+    private fun after(d: Duration, body: () -> Unit) {
+        queue.add(Timed(now + d, ++order, body))
+    }
+
+    private fun chance(p: Double) = random.nextDouble() < p
+
+    private fun delay(): Duration = (2 + random.nextInt(20)).milliseconds
+
+    fun addMachine(type: MachineType, zone: String, spot: Boolean, boot: Duration): String {
+        val w = Worker("i-%06d".format(++serial), type, zone, spot)
+        workers[w.id] = w
+        after(boot) {
+            w.up = true
+            w.answered = now
+            heartbeat(w)
+        }
+        return w.id
+    }
+
+    fun submit(spec: JobSpec) {
+        specs[spec.id] = spec
+        trulyDone[spec.id] = BitSet()
+        store(mapOf(Keys.job(spec.id) to 0L, Keys.final(spec.id) to 0L), listOf(Put(Keys.job(spec.id), RecordWire.encode(JobRecord(spec, now, 0, BitSet(), emptyList())))))
+    }
+
+    /** As a node does it; true if the user was told so. */
+    fun cancel(id: String): Boolean {
+        if (now < stateDownUntil) return false
+        val ok = store(mapOf(Keys.cancel(id) to 0L, Keys.final(id) to 0L), listOf(Put(Keys.cancel(id), mapOf("at" to now.inWholeMilliseconds))))
+        if (ok) cancelled[id] = now
+        return ok
+    }
+
+    private fun store(conditions: Map<String, Long>, puts: List<Put>): Boolean {
+        val ok = state.transact(conditions, puts, emptyList()) == null
+        after(delay()) { feed() }
+        return ok
+    }
+
+    fun elect() {
+        val lease = state.newLease()
+        token++
+        state.transact(emptyMap(), listOf(Put(Keys.LEAD, mapOf("token" to token), lease), Put(Keys.TERM, mapOf("token" to token))), emptyList())
+        leadMark = state.revision
+        val s = Scheduler(config, token, now)
+        leader = s
+        step {
+            typesKnown(this@World.types)
+            for ((k, e) in state.entries) if (k.startsWith(Keys.JOB)) change(StateWire.Change(k, e.value, e.version))
+            for ((k, e) in state.entries) if (k.startsWith(Keys.CANCEL)) change(StateWire.Change(k, e.value, e.version))
+        }
+        applied = state.revision
+    }
+
+    private fun Scheduler.change(c: StateWire.Change) {
+        val v = c.value
+        if (c.key.startsWith(Keys.JOB)) {
+            val id = c.key.removePrefix(Keys.JOB)
+            val chunks = state.entries.filterKeys { it.startsWith(Keys.chunks(id)) }.map { StateWire.Item(it.key, it.value.value, it.value.version) }
+            if (v == null) jobGone(id) else jobStored(wholeRecord(v, chunks), c.version)
+        } else if (c.key.startsWith(Keys.CANCEL) && v != null) {
+            jobCancelled(c.key.removePrefix(Keys.CANCEL), c.version, (v["at"] as Long).milliseconds)
+        }
+    }
+
+    private fun feed() {
+        if (now < stateDownUntil) return
+        val fresh = state.log.filter { it.third > applied }
+        applied = state.revision
+        if (fresh.isNotEmpty()) step { fresh.forEach { (k, v, n) -> change(StateWire.Change(k, v, n)) } }
+    }
+
+    private fun step(body: Scheduler.() -> Unit) {
+        val s = leader ?: return
+        s.step(now, now, body).forEach { perform(it, s) }
+    }
+
+    private fun ifLeading(s: Scheduler, body: Scheduler.() -> Unit) {
+        if (leader === s) step(body)
+    }
+
+    private fun perform(a: Action, s: Scheduler) {
+        when (a) {
+            is Direct -> direct(a, s)
+            is Probe -> {
+                val w = workers[a.machine]
+                after(delay()) {
+                    val r = if (w != null && reachable(w)) w.report() else null
+                    ifLeading(s) { probed(a.machine, r) }
+                }
+            }
+            is Rent -> rent(a, s)
+            is Delete -> {
+                val fails = chance(weather.lost)
+                after(delay() * 5) {
+                    if (!fails || chance(0.5)) a.machines.forEach { id -> workers.remove(id)?.let { it.gone = true } }
+                    ifLeading(s) { deletionEnded(a.machines, !fails) }
+                }
+            }
+            is RaiseToken -> after(delay()) {
+                val t = token + 1
+                val ok = leader === s && now >= stateDownUntil
+                if (ok) {
+                    token = t
+                    state.transact(emptyMap(), listOf(Put(Keys.TERM, mapOf("token" to t))), emptyList())
+                }
+                ifLeading(s) { tokenRaised(if (ok) t else null) }
+            }
+            is Store -> write(a, s)
+        }
+    }
+
+    private fun write(a: Store, s: Scheduler) {
+        val t = transactionOf(leadMark, a)
+        if (now < stateDownUntil) {
+            after(delay()) { ifLeading(s) { stored(StoreOutcome.Refused(emptySet())) } }
+        } else if (chance(weather.lost / 2)) {
+            // No answer, and it is applied much later if its conditions still hold.
+            if (chance(0.7)) after(random.nextInt(20).seconds) { commit(t) }
+            after(1500.milliseconds) {
+                feed()
+                ifLeading(s) { stored(StoreOutcome.Unknown) }
+            }
+        } else {
+            after(delay()) {
+                val failed = commit(t)
+                val revision = state.revision
+                after(delay()) {
+                    if (failed != null) feed()
+                    ifLeading(s) { stored(if (failed == null) StoreOutcome.Stored(revision) else StoreOutcome.Refused(failed.toSet())) }
+                }
+            }
+        }
+    }
+
+    private fun commit(t: Transaction): List<String>? {
+        val failed = state.transact(t.conditions, t.puts, t.removes)
+        if (failed == null) {
+            for (p in t.puts) {
+                if (!p.key.startsWith(Keys.FINAL)) continue
+                val id = p.key.removePrefix(Keys.FINAL)
+                if (p.value["end"] == "done" && (trulyDone.getValue(id).cardinality() < specs.getValue(id).tasks)) violations += "not_done $id"
+                if (p.value["end"] == "cancelled" && id !in cancelled) violations += "went_back $id was not cancelled"
+            }
+        }
+        return failed
+    }
+
+    private fun rent(a: Rent, s: Scheduler) {
+        after(delay() * 10) {
+            val names = requests[a.request] ?: run {
+                val n = if (workers.size >= MAX_MACHINES) 0 else if (chance(0.2)) random.nextInt(a.count + 1) else a.count
+                val type = types.first { it.name == a.type }
+                List(n) {
+                    // A few never come up.
+                    val boot = if (chance(0.05)) 10_000.seconds else type.boot * (0.6 + random.nextDouble())
+                    addMachine(type, a.zone, a.spot, boot)
+                }.also { if (n > 0) requests[a.request] = it }
+            }
+            if (chance(weather.lost)) ifLeading(s) { rentUnknown(a) } else ifLeading(s) { if (names.isEmpty()) rentRefused(a) else rented(a, names) }
+        }
+    }
+
+    private fun reachable(w: Worker) = !w.gone && w.up && now >= w.cutUntil && !w.hanging
+
+    private fun direct(a: Direct, s: Scheduler) {
+        val w = workers[a.machine]
+        if (w == null || w.gone || !w.up) {
+            after(800.milliseconds) { ifLeading(s) { directEnded(a.machine, a, DirectOutcome.NOT_SENT, null) } }
+            return
+        }
+        val held = now < w.cutUntil || w.hanging || chance(weather.held)
+        if (held) {
+            // Delivered when the cut ends or minutes late, though the sender has long given up.
+            val late = maxOf(w.cutUntil - now, w.hungUntil - now, Duration.ZERO) + random.nextInt(60).seconds
+            after(late) { if (!w.gone && !w.hanging) execute(w, a) }
+            after(3.seconds) { ifLeading(s) { directEnded(a.machine, a, DirectOutcome.UNKNOWN, null) } }
+            return
+        }
+        after(delay()) {
+            if (!w.gone && !w.hanging) {
+                val ok = execute(w, a)
+                val report = w.report()
+                if (chance(weather.lost)) {
+                    after(3.seconds) { ifLeading(s) { directEnded(a.machine, a, DirectOutcome.UNKNOWN, null) } }
+                } else {
+                    after(delay()) { ifLeading(s) { directEnded(a.machine, a, if (ok) DirectOutcome.DONE else DirectOutcome.REFUSED, report) } }
+                }
+            } else {
+                after(3.seconds) { ifLeading(s) { directEnded(a.machine, a, DirectOutcome.UNKNOWN, null) } }
+            }
+        }
+    }
+
+    private fun execute(w: Worker, a: Direct): Boolean {
+        if (a.token < w.seen || a.session != w.session) return false
+        w.seen = a.token
+        a.commands.forEach { command(w, it) }
+        return true
+    }
+
+    private fun command(w: Worker, c: Command) {
+        val t = w.tasks[c.key]
+        when (c) {
+            is StartTask -> start(w, c, t)
+            is StopTask -> if (t != null && t.attempt == c.attempt && t.exit == null) exit(t, Exit.STOPPED)
+            is ForgetTask -> if (t != null && t.attempt == c.attempt && t.exit != null) w.tasks.remove(c.key)
+        }
+    }
+
+    private fun start(w: Worker, c: StartTask, t: Task?) {
+        if (t != null && t.attempt == c.attempt) return
+        val spec = specs[c.key.job]
+        if (spec == null || c.key.task >= spec.tasks) {
+            w.tasks[c.key] = Task(c.attempt, TaskState.EXITED, now, Exit.UNKNOWN)
+            return
+        }
+        if (t != null && t.exit == null) {
+            violations += "$now two attempts of ${c.key} on ${w.id}"
+            return
+        }
+        check(c, spec, w)
+        val fetch = if (spec.image in w.images) Duration.ZERO else (spec.imageGb / w.type.fetchGbPerS).seconds * (0.7 + 0.6 * random.nextDouble())
+        val task = Task(c.attempt, TaskState.FETCHING, now + fetch)
+        w.tasks[c.key] = task
+        starts++
+    }
+
+    /** The rules that a start can break. */
+    private fun check(c: StartTask, spec: JobSpec, w: Worker) {
+        val on = workers.values.flatMap { x -> x.tasks.entries.filter { it.value.exit == null }.map { Triple(x, it.key, it.value) } }
+        if (on.any { (_, k, _) -> k == c.key }) violations += "$now ran_twice ${c.key}"
+        if (spec.types != null && w.type.name !in spec.types || spec.zone != null && spec.zone != w.zone || w.spot && !spec.spot) violations += "$now wrong_place ${c.key} on ${w.id}"
+        val mates = on.filter { (_, k, _) -> k.job == spec.id }
+        if (spec.sameZone && mates.any { (x, _, _) -> x.zone != w.zone }) violations += "$now wrong_place same zone ${c.key}"
+        if (spec.spread && mates.count { (x, _, _) -> x.zone == w.zone } + 1 > spec.zoneCap) violations += "$now wrong_place spread ${c.key}"
+        val team = config.teams.first { it.name == spec.team }
+        val used = on.filter { (_, k, _) -> specs.getValue(k.job).team == spec.team }.sumOf { (_, k, _) -> specs.getValue(k.job).need.gpus } + spec.need.gpus
+        if (team.gpusMax != null && used > team.gpusMax + 1e-6) violations += "$now quota ${spec.team}: $used"
+        val told = cancelled[spec.id]
+        if (told != null && now - told > config.cancel) violations += "$now ran_cancelled start ${c.key}"
+        val room = w.tasks.entries.filter { it.value.exit == null }.map { specs.getValue(it.key.job).need }.fold(spec.need) { x, y -> x + y }
+        if (!room.fits(w.type.room)) violations += "$now overfull ${w.id}"
+    }
+
+    private fun exit(t: Task, e: Exit) {
+        t.state = TaskState.EXITED
+        t.exit = e
+    }
+
+    private fun heartbeat(w: Worker) {
+        if (w.gone) return
+        after(config.report * (0.75 + random.nextDouble() / 2)) { heartbeat(w) }
+        if (w.hanging) return
+        if (now - w.answered > config.lease) {
+            w.tasks.clear()
+            w.session++
+            w.answered = now
+        }
+        if (now < w.cutUntil || chance(weather.lost)) return
+        val sent = now
+        val r = w.report()
+        val s = leader
+        after(delay()) {
+            if (s == null || leader !== s || w.gone) {
+                // Nobody leads: a node keeps the lease with the worker's own token.
+                if (r.session == w.session) w.answered = sent
+                return@after
+            }
+            var commands: List<Command> = emptyList()
+            step { commands = reported(r) }
+            val answerToken = s.token
+            after(delay()) {
+                if (w.gone || w.hanging || now < w.cutUntil || r.session != w.session || answerToken < w.seen) return@after
+                w.seen = answerToken
+                w.answered = sent
+                commands.forEach { command(w, it) }
+            }
+        }
+    }
+
+    /** What happens by itself on the machines, and the rules that hold at every moment. */
+    private fun live() {
+        for (w in workers.values) {
+            if (w.hanging) continue
+            for ((k, t) in w.tasks) advance(w, k, t)
+        }
+        gangs()
+        for (w in workers.values) {
+            for ((k, t) in w.tasks) {
+                val told = cancelled[k.job]
+                if (t.exit == null && told != null && now - told > config.cancel) violations += "$now ran_cancelled $k on ${w.id}"
+            }
+        }
+    }
+
+    private fun advance(w: Worker, k: TaskKey, t: Task) {
+        if (t.exit != null || now < t.at) return
+        val spec = specs.getValue(k.job)
+        if (t.state == TaskState.FETCHING) {
+            w.images.add(spec.image)
+            t.state = if (spec.kind == JobKind.GANG) TaskState.WAITING else TaskState.RUNNING
+            t.at = now + if (spec.kind == JobKind.GANG) config.gangWait else spec.estimate
+        } else if (t.state == TaskState.RUNNING && spec.kind != JobKind.SERVICE) {
+            trulyDone.getValue(k.job).set(k.task)
+            exit(t, Exit.DONE)
+        } else if (t.state == TaskState.WAITING) {
+            exit(t, Exit.ALONE)
+        }
+    }
+
+    private fun gangs() {
+        val all = workers.values.flatMap { w -> w.tasks.entries.map { Triple(w, it.key, it.value) } }.filter { specs.getValue(it.second.job).kind == JobKind.GANG }
+        for ((group, members) in all.groupBy { it.second.job to it.third.attempt }) {
+            val spec = specs.getValue(group.first)
+            val waiting = members.filter { it.third.state == TaskState.WAITING }
+            val running = members.filter { it.third.state == TaskState.RUNNING }
+            if (waiting.size == spec.tasks) {
+                waiting.forEach { it.third.state = TaskState.RUNNING; it.third.at = now + spec.estimate }
+            } else if (running.isNotEmpty() && members.any { it.third.exit == Exit.DONE }) {
+                running.forEach { (_, k, t) -> trulyDone.getValue(k.job).set(k.task); exit(t, Exit.DONE) }
+            } else if (running.isNotEmpty() && running.size < spec.tasks) {
+                running.forEach { exit(it.third, Exit.PEERS) }
+            }
+        }
+    }
+
+    private fun weatherNow() {
+        val w = workers.values.filter { it.up }.let { if (it.isEmpty()) null else it[random.nextInt(it.size)] } ?: return
+        if (chance(weather.deaths)) {
+            w.gone = true
+            workers.remove(w.id)
+        }
+        if (chance(weather.cuts)) w.cutUntil = now + (5 + random.nextInt(40)).seconds
+        if (chance(weather.hangs)) w.hungUntil = now + (2 + random.nextInt(20)).seconds
+        if (chance(weather.notices) && w.spot && w.recallAt == null) {
+            w.recallAt = now + 10.seconds
+            after(10.seconds) {
+                w.gone = true
+                workers.remove(w.id)
+            }
+        }
+        if (chance(weather.takeovers)) {
+            leader = null
+            after((1 + random.nextInt(6)).seconds) { electWhenUp() }
+        }
+        if (chance(weather.outages)) stateDownUntil = now + (3 + random.nextInt(15)).seconds
+    }
+
+    private fun electWhenUp() {
+        if (leader != null) return
+        if (now < stateDownUntil) after(1.seconds) { electWhenUp() } else elect()
+    }
+
+    private fun list() {
+        val all = workers.values.map { w ->
+            ListedMachine(w.id, "addr-${w.id}", w.type.name, w.zone, w.spot, if (w.up) MachineStage.RUNNING else MachineStage.BOOTING, now - w.rentedAt)
+        }
+        lists.add(now to all)
+        lists.removeIf { now - it.first > config.listLag * 3 }
+        val lag = config.listLag * (0.5 + random.nextDouble() * 1.5)
+        val old = lists.lastOrNull { now - it.first >= lag }?.second ?: return
+        if (leader != null) step { listed(old) }
+    }
+
+    /** Runs until the given time. [calm]: the weather is over, and everything can come to its end. */
+    fun run(until: Duration, calm: Boolean = false) {
+        while (now < until) {
+            val next = queue.peek()
+            val tickAt = now + TICK
+            if (next != null && next.at <= tickAt) {
+                queue.poll()
+                now = maxOf(now, next.at)
+                next.body()
+                continue
+            }
+            now = tickAt
+            live()
+            if (leader != null && now >= stateDownUntil) {
+                feed()
+                step { tick() }
+            }
+            if (ticks++ % 5 == 0) list()
+            if (!calm && ticks % 5 == 0) weatherNow()
+        }
+    }
+
+    private var ticks = 0
+
+    fun end(id: String): String? = state.entries[Keys.final(id)]?.value?.get("end") as String?
+
+    /** What the leader believes of a job, for failure messages. */
+    fun describe(id: String): String {
+        val j = leader?.jobs?.get(id) ?: return "unknown to the leader"
+        val where = j.placements.values.joinToString { p ->
+            val m = leader?.machines?.get(p.machine)
+            "${p.key.task}#${p.attempt}@${p.machine} ${p.step}/${p.state} sent=${p.startSent} stop=${p.stop} machine[trusted=${m?.trusted} heard=${m?.heard} deleting=${m?.deleting} loose=${m?.loose} busy=${m?.directBusy}]"
+        }
+        return "now=$now writing=${j.writing} changes=${j.changes}/${j.saved} version=${j.version} strays=${j.strays} waiting=${j.waiting(9)} notBefore=${j.notBefore} failedOn=${j.failedOn} $where"
+    }
+
+    /** Whether the job waits for its team's limit alone. */
+    fun teamIsFull(id: String) = leader?.let { l -> l.jobs[id]?.let { l.teamRoom(it) } } == 0
+
+    fun live(id: String) = Keys.job(id) in state.entries
+
+    fun runningReplicas(id: String) = workers.values.sumOf { w -> w.tasks.count { it.key.job == id && it.value.state == TaskState.RUNNING } }
+
+    companion object {
+        private val TICK = 200.milliseconds
+        private const val MAX_MACHINES = 24
+    }
+}
