--- /dev/null
+++ b/src/test/kotlin/glenspool/api/UserApiTest.kt
@@ -0,0 +1,144 @@
+package glenspool.api
+
+import glenspool.config.SettingsReader
+import glenspool.config.SettingsTest
+import glenspool.core.model.Amount
+import glenspool.core.model.JobKind
+import glenspool.core.model.JobSpec
+import glenspool.core.model.MachineType
+import glenspool.http.HttpCaller
+import glenspool.http.HttpListener
+import glenspool.http.CallResult
+import glenspool.peer.PeerClient
+import glenspool.state.Keys
+import glenspool.state.Put
+import glenspool.state.Replica
+import glenspool.state.StateClient
+import glenspool.standin.StateStandIn
+import glenspool.standin.bigType
+import glenspool.standin.job
+import glenspool.wire.Cbor
+import glenspool.wire.JobWire
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import java.io.File
+import java.net.InetSocketAddress
+import kotlin.concurrent.thread
+import kotlin.time.Duration.Companion.seconds
+
+/** The users' requests over real sockets on loopback, against a stand-in for the state service. */
+class UserApiTest {
+    @TempDir
+    lateinit var dir: File
+    private val state = StateStandIn()
+    private val outside = HttpListener(InetSocketAddress("127.0.0.1", 0), "state", 8, state::serve)
+    private val http = HttpCaller(2.seconds)
+    private val client = StateClient("127.0.0.1:${outside.port}", http)
+    private val replica = Replica(client, 1000.0) { _, _ -> }
+    private val syncs = thread(isDaemon = true) {
+        try {
+            replica.serveSyncs()
+        } catch (e: InterruptedException) {
+            Thread.currentThread().interrupt()
+        }
+    }
+    private var types: List<MachineType>? = listOf(bigType)
+    private val node by lazy {
+        val settings = SettingsReader().read(File(dir, "s.toml").also { it.writeText(SettingsTest.GOOD) })
+        HttpListener(InetSocketAddress("127.0.0.1", 0), "api", 8, UserApi(settings, client, replica, PeerClient(emptyList())) { types })
+    }
+    private val addr get() = "127.0.0.1:${node.port}"
+
+    @AfterEach
+    fun close() {
+        syncs.interrupt()
+        node.close()
+        outside.close()
+    }
+
+    private fun spec(id: String, tasks: Int = 1, need: Amount = Amount(2.0, 1.0, 8.0), kind: JobKind = JobKind.ARRAY, team: String = "a") = job(id, kind, tasks, need, team)
+
+    private fun submit(s: JobSpec) = http.post(addr, "/api/jobs", JobWire.encode(s), 10.seconds) as CallResult.Answer
+
+    private fun show(id: String) = http.get(addr, "/api/jobs/$id", 10.seconds) as CallResult.Answer
+
+    private fun withdraw(id: String) = http.post(addr, "/api/jobs/$id/withdraw", emptyMap(), 10.seconds) as CallResult.Answer
+
+    private fun end(id: String, word: String) {
+        state.transact(emptyMap(), listOf(Put(Keys.final(id), mapOf("end" to word, "tasks" to 1L))), listOf(Keys.job(id), Keys.cancel(id)))
+    }
+
+    @Test
+    fun `a job is taken once, and its retry gets its present state`() {
+        assertEquals(201, submit(spec("run-1")).status)
+        assertEquals(200 to "pending", submit(spec("run-1")).let { it.status to it.body["stage"] })
+        end("run-1", "done")
+        assertEquals(200 to "done", submit(spec("run-1")).let { it.status to it.body["stage"] })
+        assertEquals(200 to "done", show("run-1").let { it.status to it.body["stage"] })
+    }
+
+    @Test
+    fun `what never was is unknown, and what was stored by another node is known at once`() {
+        assertEquals(404, show("run-9").status)
+        assertEquals(404, withdraw("run-9").status)
+        // A copy in memory would still say 404 here.
+        state.transact(emptyMap(), listOf(Put(Keys.final("run-9"), mapOf("end" to "cancelled"))), emptyList())
+        assertEquals("aborted", show("run-9").body["stage"])
+        repeat(7) { assertEquals(201, submit(spec("run-1$it")).status) }
+        repeat(7) { assertEquals("pending", show("run-1$it").body["stage"]) }
+    }
+
+    @Test
+    fun `a cancelled job stays cancelled, and a done one can't be cancelled`() {
+        submit(spec("run-1"))
+        assertEquals("aborted", withdraw("run-1").body["stage"])
+        assertEquals("aborted", withdraw("run-1").body["stage"])
+        assertEquals("aborted", show("run-1").body["stage"])
+        submit(spec("run-2"))
+        end("run-2", "done")
+        assertEquals("done", withdraw("run-2").body["stage"])
+        assertEquals(null, state.entries[Keys.cancel("run-2")])
+    }
+
+    @Test
+    fun `what can never run gets 422, but a known job is answered as known`() {
+        assertEquals(422, submit(spec("run-1", team = "nobody")).status)
+        assertEquals(422, submit(spec("run-2", need = Amount(2.0, 5.0, 8.0))).status)
+        assertEquals(422, submit(spec("run-3", tasks = 40, kind = JobKind.GANG)).status)
+        assertEquals(201, submit(spec("run-4", tasks = 40)).status)
+        types = listOf(bigType.copy(room = Amount(1.0, 0.0, 1.0)))
+        assertEquals(200, submit(spec("run-4", tasks = 40)).status)
+        assertEquals(422, submit(spec("run-5")).status)
+        types = null
+        assertEquals(503, submit(spec("run-5")).status)
+    }
+
+    @Test
+    fun `malformed and oversized bodies are refused for good`() {
+        for (body in listOf(byteArrayOf(), byteArrayOf(1), Cbor.encode(listOf(1)), Cbor.encode(mapOf("uid" to "run-1")), ByteArray(70_000))) {
+            assertEquals(400, (http.call("POST", addr, "/api/jobs", body, 10.seconds) as CallResult.Answer).status)
+        }
+        assertEquals(0, state.revision)
+    }
+
+    @Test
+    fun `without the state service every request is answered at once with a time to come back`() {
+        submit(spec("run-1"))
+        state.down = true
+        assertEquals(503, submit(spec("run-2")).status)
+        assertEquals(503, show("run-1").status)
+        assertEquals(503, withdraw("run-1").status)
+        assertEquals(200, (http.get(addr, "/ready", 10.seconds) as CallResult.Answer).status)
+        state.down = false
+        assertEquals("pending", show("run-1").body["stage"])
+        assertEquals(404, show("run-2").status)
+    }
+
+    @Test
+    fun `a job of 100,000 tasks is taken`() {
+        assertEquals(201, submit(spec("run-1", tasks = 100_000)).status)
+        assertEquals(400, submit(spec("run-2", tasks = 100_001)).status)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/glenspool/core/GuardsTest.kt
@@ -0,0 +1,282 @@
+package glenspool.core
+
+import glenspool.core.model.Amount
+import glenspool.core.model.Command
+import glenspool.core.model.Exit
+import glenspool.core.model.ForgetTask
+import glenspool.core.model.Intent
+import glenspool.core.model.JobKind
+import glenspool.core.model.JobRecord
+import glenspool.core.model.JobSpec
+import glenspool.core.model.Priority
+import glenspool.core.model.Report
+import glenspool.core.model.ReportedTask
+import glenspool.core.model.StartTask
+import glenspool.core.model.StopTask
+import glenspool.core.model.TaskKey
+import glenspool.core.model.TaskState
+import glenspool.standin.bigType
+import glenspool.standin.config
+import glenspool.standin.job
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.BitSet
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** One guard each, with the failure that it is there for. */
+class GuardsTest {
+    private val core = Scheduler(config(), TOKEN, Duration.ZERO)
+    private var now = Duration.ZERO
+    private var revision = 100L
+    private val seqs = HashMap<String, Long>()
+
+    private fun step(body: Scheduler.() -> Unit): List<Action> = core.step(now, now, body)
+
+    private fun wait(d: Duration): List<Action> {
+        val all = ArrayList<Action>()
+        val end = now + d
+        while (now < end) {
+            now += 200.milliseconds
+            all += step { tick() }
+        }
+        return all
+    }
+
+    private fun report(machine: String, tasks: List<ReportedTask> = emptyList(), token: Long = TOKEN, session: Long = 1) =
+        Report(machine, "addr-$machine", "big", "a", false, session, seqs.merge(machine, 1, Long::plus) ?: 1, token, null, tasks)
+
+    private fun task(job: String, n: Int, attempt: Long, state: TaskState, exit: Exit? = null) = ReportedTask(TaskKey(job, n), attempt, state, exit, false)
+
+    private fun say(r: Report): Pair<List<Command>, List<Action>> {
+        var commands: List<Command> = emptyList()
+        val actions = step { commands = reported(r) }
+        return commands to actions
+    }
+
+    private fun submit(spec: JobSpec, intents: List<Intent> = emptyList(), last: Long = 0) =
+        step { jobStored(JobRecord(spec, now, last, BitSet(), intents), ++revision) }
+
+    private fun started(machines: Int = 1): Scheduler {
+        step { typesKnown(listOf(bigType)) }
+        for (i in 1..machines) say(report("m$i"))
+        return core
+    }
+
+    private fun store(actions: List<Action>) = actions.filterIsInstance<Store>().single()
+
+    private fun confirm(): List<Action> = step { stored(StoreOutcome.Stored(++revision)) }
+
+    private fun List<Action>.starts() = filterIsInstance<Direct>().flatMap { it.commands }.filterIsInstance<StartTask>()
+
+    @Test
+    fun `no start is sent before the placement is stored`() {
+        started()
+        val first = submit(job("a")) + wait(2.seconds)
+        assertEquals(1, first.filterIsInstance<Store>().size)
+        assertTrue(first.starts().isEmpty())
+        assertEquals(listOf(TaskKey("a", 0)), confirm().starts().map { it.key })
+    }
+
+    @Test
+    fun `a placement is stored only if the job is not cancelled, and a refused one is never started`() {
+        started()
+        val write = store(submit(job("a")) + wait(1.seconds)).writes.single() as SaveJob
+        assertTrue(write.needsUncancelled)
+        step { jobCancelled("a", ++revision, now) }
+        val after = step { stored(StoreOutcome.Refused(setOf("g/c/a"))) } + wait(3.seconds)
+        assertTrue(after.starts().isEmpty())
+        assertEquals(revision, (store(after).writes.single() as FinishJob).cancelVersion)
+    }
+
+    @Test
+    fun `a worker that has not seen this leader's token proves nothing gone`() {
+        // An earlier leader's start may still be on its way while the worker would accept it.
+        step { typesKnown(listOf(bigType)) }
+        submit(job("a"), listOf(Intent(0, 1, "m1")), last = 1)
+        say(report("m1", token = TOKEN - 1))
+        say(report("m2"))
+        assertTrue(wait(2.seconds).filterIsInstance<Store>().isEmpty())
+        assertEquals("m1", core.jobs.getValue("a").placements.getValue(0).machine)
+        val (_, actions) = say(report("m1"))
+        assertTrue((actions + wait(2.seconds)).any { it is Store })
+    }
+
+    @Test
+    fun `an unanswered start is believed void only under a higher token`() {
+        started()
+        submit(job("a"))
+        wait(1.seconds)
+        val direct = confirm().filterIsInstance<Direct>().single()
+        now += 3.seconds
+        step { directEnded("m1", direct, DirectOutcome.UNKNOWN, null) }
+        say(report("m1"))
+        assertEquals(1, core.jobs.getValue("a").placements.size)
+        val raised = wait(2.seconds)
+        assertTrue(raised.any { it is RaiseToken })
+        step { tokenRaised(TOKEN + 1) }
+        say(report("m1", token = TOKEN))
+        assertEquals(1, core.jobs.getValue("a").placements.getValue(0).attempt)
+        say(report("m1", token = TOKEN + 1))
+        wait(2.seconds)
+        assertEquals(2, core.jobs.getValue("a").placements.getValue(0).attempt)
+    }
+
+    @Test
+    fun `an ended task is not forgotten while a start of it may be on its way`() {
+        started()
+        submit(job("a"))
+        wait(1.seconds)
+        val direct = confirm().filterIsInstance<Direct>().single()
+        now += 3.seconds
+        step { directEnded("m1", direct, DirectOutcome.UNKNOWN, null) }
+        val (commands, _) = say(report("m1", listOf(task("a", 0, 1, TaskState.EXITED, Exit.ERROR))))
+        assertFalse(commands.any { it is ForgetTask })
+        val (later, _) = say(report("m1", listOf(task("a", 0, 1, TaskState.EXITED, Exit.ERROR)), token = TOKEN + 1))
+        assertTrue(later.contains(ForgetTask(TaskKey("a", 0), 1)))
+    }
+
+    @Test
+    fun `a finished task is forgotten only after its result is stored`() {
+        started()
+        submit(job("a", tasks = 2))
+        wait(1.seconds)
+        val d = confirm().filterIsInstance<Direct>().single()
+        step { directEnded("m1", d, DirectOutcome.DONE, report("m1", listOf(task("a", 0, 1, TaskState.RUNNING), task("a", 1, 2, TaskState.RUNNING)))) }
+        val done = listOf(task("a", 0, 1, TaskState.EXITED, Exit.DONE), task("a", 1, 2, TaskState.RUNNING))
+        val (early, actions) = say(report("m1", done))
+        assertTrue(early.isEmpty())
+        assertTrue((store(actions).writes.single() as SaveJob).record.done[0])
+        confirm()
+        assertEquals(listOf<Command>(ForgetTask(TaskKey("a", 0), 1)), say(report("m1", done)).first)
+    }
+
+    @Test
+    fun `a job is done only when each of its tasks is`() {
+        started()
+        submit(job("a", tasks = 2))
+        wait(1.seconds)
+        confirm()
+        val (_, one) = say(report("m1", listOf(task("a", 0, 1, TaskState.EXITED, Exit.DONE), task("a", 1, 2, TaskState.RUNNING))))
+        assertTrue(store(one).writes.single() is SaveJob)
+        confirm()
+        val (_, two) = say(report("m1", listOf(task("a", 1, 2, TaskState.EXITED, Exit.DONE))))
+        assertTrue(store(two).writes.single() is FinishJob)
+    }
+
+    @Test
+    fun `a report that is older than what is known changes nothing`() {
+        started()
+        submit(job("a"))
+        wait(1.seconds)
+        val old = report("m1")
+        val d = confirm().filterIsInstance<Direct>().single()
+        step { directEnded("m1", d, DirectOutcome.DONE, report("m1", listOf(task("a", 0, 1, TaskState.RUNNING)))) }
+        say(old)
+        assertEquals(1, core.jobs.getValue("a").placements.size)
+    }
+
+    @Test
+    fun `a task of unknown origin is stopped, and blocks its place till it is gone`() {
+        started(2)
+        say(report("m1", listOf(task("a", 0, 7, TaskState.RUNNING))))
+        submit(job("a"), last = 9)
+        val (commands, _) = say(report("m1", listOf(task("a", 0, 7, TaskState.RUNNING))))
+        assertEquals(listOf<Command>(StopTask(TaskKey("a", 0), 7, Duration.ZERO)), commands)
+    }
+
+    @Test
+    fun `cancelled work on a machine that nobody reaches is gone in time`() {
+        // All other machines are silent too, so silence alone would have this one kept.
+        started(3)
+        submit(job("a"))
+        wait(1.seconds)
+        confirm()
+        step { jobCancelled("a", ++revision, now) }
+        val told = now
+        val host = core.jobs.getValue("a").placements.getValue(0).machine
+        val actions = wait(30.seconds)
+        assertTrue(actions.filterIsInstance<Delete>().any { host in it.machines })
+        assertTrue(now - told < core.config.cancel)
+    }
+
+    @Test
+    fun `silence of everything is our own trouble and gives no machine up`() {
+        started(4)
+        // Less than it takes for empty machines to be returned.
+        assertTrue(wait(18.seconds).none { it is Delete })
+    }
+
+    @Test
+    fun `one silent machine among many is replaced, and its tasks wait for the proof`() {
+        started(4)
+        submit(job("a"))
+        wait(1.seconds)
+        confirm()
+        val host = core.jobs.getValue("a").placements.getValue(0).machine
+        val deleted = ArrayList<Action>()
+        repeat(8) {
+            deleted += wait(2.seconds)
+            for (m in listOf("m1", "m2", "m3", "m4") - host) say(report(m))
+        }
+        assertEquals(listOf(host), deleted.filterIsInstance<Delete>().flatMap { it.machines }.distinct())
+        assertEquals(host, core.jobs.getValue("a").placements.getValue(0).machine)
+        step { deletionEnded(listOf(host), true) }
+        wait(1.seconds)
+        assertTrue(core.jobs.getValue("a").placements.getValue(0).machine != host)
+    }
+
+    @Test
+    fun `a gang's fetches are let through when a waiting member gives up`() {
+        // Stopping them would throw the image away, and the next attempt would meet the same wait for ever.
+        started(2)
+        submit(job("g", JobKind.GANG, 2, Amount(14.0, 4.0, 50.0), priority = Priority.URGENT))
+        wait(1.seconds)
+        val directs = confirm().filterIsInstance<Direct>()
+        assertEquals(2, directs.size)
+        val by = directs.associate { d -> d.machine to d.commands.filterIsInstance<StartTask>().single() }
+        for (d in directs) {
+            val c = by.getValue(d.machine)
+            val state = if (d.machine == "m1") TaskState.WAITING else TaskState.FETCHING
+            step { directEnded(d.machine, d, DirectOutcome.DONE, report(d.machine, listOf(task("g", c.key.task, c.attempt, state)))) }
+        }
+        val gaveUp = by.getValue("m1")
+        val after = say(report("m1", listOf(task("g", gaveUp.key.task, gaveUp.attempt, TaskState.EXITED, Exit.ALONE)))).second + wait(3.seconds)
+        assertTrue(after.filterIsInstance<Direct>().flatMap { it.commands }.none { it is StopTask })
+        val other = by.getValue("m2")
+        val ready = say(report("m2", listOf(task("g", other.key.task, other.attempt, TaskState.WAITING)))).second + wait(1.seconds)
+        assertEquals(listOf(other.key), ready.filterIsInstance<Direct>().flatMap { it.commands }.filterIsInstance<StopTask>().map { it.key }.distinct())
+    }
+
+    @Test
+    fun `a job that fails everywhere is tried ever more rarely`() {
+        started(3)
+        submit(job("bad"))
+        var starts = 0
+        repeat(300) {
+            now += 200.milliseconds
+            val actions = ArrayList(step { tick() })
+            while (actions.isNotEmpty()) {
+                when (val a = actions.removeAt(0)) {
+                    is Store -> actions += confirm()
+                    is Direct -> {
+                        val failed = a.commands.filterIsInstance<StartTask>().map { task("bad", it.key.task, it.attempt, TaskState.EXITED, Exit.ERROR) }
+                        starts += failed.size
+                        actions += step { directEnded(a.machine, a, DirectOutcome.DONE, report(a.machine, failed)) }
+                    }
+                    else -> Unit
+                }
+            }
+            if (it % 5 == 0) for (m in listOf("m1", "m2", "m3")) say(report(m))
+        }
+        assertTrue(starts in 3..12, "$starts starts within a minute")
+        assertFalse(core.jobs.getValue("bad").complete)
+    }
+
+    companion object {
+        private const val TOKEN = 5L
+    }
+}
