Critical services take room from lower work where their image is cached

Cause: a machine with room but without the image was preferred to one with the image full of refits.

--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -704,12 +704,33 @@
         val ready = machines.values.filter { it.ready(now, freshness) && it.type in types }
         val open = jobs.values.filter { !it.cancelled && !it.complete && it.notBefore.let { b -> b == null || now >= b } && it.waiting(1).isNotEmpty() }
         if (open.isNotEmpty() && ready.isNotEmpty()) {
-            Round(this, ready, open).run { now - it.seenAt > config.tuning.gangWaitBound }
+            clearCached(open, ready)
+            Round(this, ready, open.filter { it.roomComing.let { r -> r == null || now >= r } }).run { now - it.seenAt > config.tuning.gangWaitBound }
             makeRoom(ready)
         }
         capacity.plan(now)
     }
 
+    /**
+     * A critical service whose image is cached only where lower work fills the machine: that work makes room at
+     * once, and the service waits the moment that takes, since a fetch elsewhere would take far longer.
+     */
+    private fun clearCached(open: List<Job>, ready: List<Machine>) {
+        for (job in open) {
+            if (job.rank != Priority.CRITICAL || job.spec.kind == JobKind.GANG || job.spec.imageGb <= 0.0) continue
+            if (job.roomComing != null || teamRoom(job) <= 0) continue
+            val usable = ready.filter { allowed(job, it) && it.hasImage(job.spec.image) }
+            if (usable.any { m -> types[m.type]?.let { job.need.fits(m.free(it)) } == true }) continue
+            val claimed = HashMap<Machine, Amount>()
+            var wanted = minOf(job.waitingCount(), teamRoom(job))
+            for (m in usable.sortedBy { m -> m.placements.values.count { it.job === job } }) {
+                if (wanted <= 0) break
+                wanted -= makeRoomOn(m, job, claimed, 1)
+            }
+            if (claimed.isNotEmpty()) job.roomComing = now + ROOM_PATIENCE
+        }
+    }
+
     /** Stops lower work where a waiting job of higher priority needs its room, least loss first. */
     private fun makeRoom(ready: List<Machine>) {
         val waiting = jobs.values
@@ -836,6 +857,8 @@
         private const val ESTIMATE_MARGIN = 1.15
         private const val DEADLINE_MARGIN = 1.3
         private val HOPELESS = 3600.seconds
+        /** How long a service waits for room on a machine with its image; the exit is reported in far less. */
+        private val ROOM_PATIENCE = 600.milliseconds
         private val STALL = 3.seconds
         private val SOFT_DELAY = 1500.milliseconds
         private val LOOSE_PATIENCE = 1.seconds
