--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -7,6 +7,7 @@
 import glenspool.core.Delete
 import glenspool.core.Direct
 import glenspool.core.DirectOutcome
+import glenspool.core.Note
 import glenspool.core.Probe
 import glenspool.core.RaiseToken
 import glenspool.core.Rent
@@ -248,6 +249,7 @@
                 log.info("token raised to={}", t)
                 post(Event.Raised(t))
             }
+            is Note -> if (a.important) log.info(a.text) else log.debug(a.text)
             is Store -> if (!writes.offer(s.term to a)) post(Event.Stored(StoreOutcome.Unknown, s.term))
         }
     }
--- a/src/main/kotlin/glenspool/core/Actions.kt
+++ b/src/main/kotlin/glenspool/core/Actions.kt
@@ -19,6 +19,9 @@
 /** Raise the token, so that commands on their way become void. */
 data object RaiseToken : Action
 
+/** Something an operator may want to read in the log: stable keys, one line. */
+data class Note(val text: String, val important: Boolean) : Action
+
 /** Store these changes in one transaction that holds only while this node leads. */
 data class Store(val writes: List<JobWrite>) : Action
 
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -153,7 +153,6 @@
         for (p in job.placements.values.toList()) {
             drop(p)
         }
-        capacity.ended(job)
         dirtyRound = true
     }
 
@@ -204,7 +203,7 @@
         for (l in list) {
             seen.add(l.id)
             if (l.id in deleted) continue
-            val m = machines.getOrPut(l.id) { Machine(l.id, l.type, l.zone, l.spot, now).also { capacity.appeared(l, now) } }
+            val m = machines.getOrPut(l.id) { Machine(l.id, l.type, l.zone, l.spot, now) }
             if (m.type.isEmpty()) {
                 m.type = l.type
                 m.zone = l.zone
@@ -217,7 +216,7 @@
             if (!m.everHeard) m.booting = l.stage == MachineStage.BOOTING
             if (l.stage == MachineStage.FAILED && !m.failed) {
                 m.failed = true
-                delete(m)
+                delete(m, "failed")
             }
         }
         for (m in machines.values) {
@@ -315,7 +314,6 @@
         m.zone = r.zone
         m.spot = r.spot
         m.addr = r.addr
-        if (!m.everHeard) capacity.cameUp(m, now)
         m.booting = false
         if (r.session > m.session) m.loose.removeIf { it.session < r.session }
         m.loose.removeIf { it.token < r.token }
@@ -458,6 +456,7 @@
             m.orders.removeIf { it.key == p.key && it.attempt == p.attempt && it is StartTask }
         }
         charge(job, -1)
+        note("off task=${p.key.job}/${p.task} attempt=${p.attempt} machine=${p.machine} was=${p.state}")
         if (p.step == Step.INTENDED) job.changed()
         if (job.placements.isEmpty()) job.gangAttempt = null
     }
@@ -498,8 +497,7 @@
             val boot = types[m.type]?.boot ?: 60.seconds
             val age = maxOf(m.age, now - m.firstSeen)
             if (age > boot * config.tuning.bootPatience + config.listLag * 2) {
-                capacity.dud(m, now)
-                delete(m)
+                delete(m, "never-came-up")
             }
             return
         }
@@ -511,13 +509,13 @@
         val cancelDue = m.placements.values.mapNotNull { it.job.cancelledAt }.minOrNull()
         if (cancelDue != null && quiet > config.report * 2 && now - cancelDue > config.cancel * 0.6) {
             // Cancelled work may be on a machine nobody reaches: it must be gone in time, whatever else it costs.
-            delete(m)
+            delete(m, "cancelled-work")
             return
         }
         val limit = if (m.missingSince.let { it != null && now - it > config.listLag * 2 + 2.seconds } && m.listed) config.report * 2.5 else silence
         if (quiet > limit && mostAreHeard(m)) {
             if (!m.everHeard && m.addr.isEmpty() && now - startedAt < config.listLag * 2 + 2.seconds) return
-            delete(m)
+            delete(m, "silent")
         }
     }
 
@@ -537,14 +535,19 @@
         }
     }
 
-    private fun delete(m: Machine) {
+    fun note(text: String, important: Boolean = false) {
+        actions.add(Note(text, important))
+    }
+
+    private fun delete(m: Machine, why: String) {
         if (m.deleting) return
+        note("give-up machine=${m.id} reason=$why tasks=${m.placements.size} heard=${m.heard} now=$now", important = true)
         m.deleting = true
         m.orders.clear()
         sendDelete(m)
     }
 
-    fun returnMachine(m: Machine) = delete(m)
+    fun returnMachine(m: Machine) = delete(m, "not-needed")
 
     private fun sendDelete(m: Machine) {
         m.deleteSent = now
@@ -619,6 +622,7 @@
     fun stop(p: Placement, reason: StopReason, grace: Duration) {
         if (p.stop != null && !(reason == StopReason.CANCELLED && p.stop != StopReason.CANCELLED)) return
         p.stop = reason
+        note("stop task=${p.key.job}/${p.task} attempt=${p.attempt} machine=${p.machine} reason=$reason grace=$grace")
         p.stopGrace = grace
         p.stopSent = null
         val m = machines[p.machine] ?: return
@@ -705,7 +709,7 @@
         val open = jobs.values.filter { !it.cancelled && !it.complete && it.notBefore.let { b -> b == null || now >= b } && it.waiting(1).isNotEmpty() }
         if (open.isNotEmpty() && ready.isNotEmpty()) {
             clearCached(open, ready)
-            Round(this, ready, open.filter { it.roomComing.let { r -> r == null || now >= r } }).run { now - it.seenAt > config.tuning.gangWaitBound }
+            Round(this, ready, open.filterNot { waitsForRoom(it, ready) }).run { now - it.seenAt > config.tuning.gangWaitBound }
             makeRoom(ready)
         }
         capacity.plan(now)
@@ -720,7 +724,7 @@
             if (job.rank != Priority.CRITICAL || job.spec.kind == JobKind.GANG || job.spec.imageGb <= 0.0) continue
             if (job.roomComing != null || teamRoom(job) <= 0) continue
             val usable = ready.filter { allowed(job, it) && it.hasImage(job.spec.image) }
-            if (usable.any { m -> types[m.type]?.let { job.need.fits(m.free(it)) } == true }) continue
+            if (usable.any { hasRoom(it, job) }) continue
             val claimed = HashMap<Machine, Amount>()
             var wanted = minOf(job.waitingCount(), teamRoom(job))
             for (m in usable.sortedBy { m -> m.placements.values.count { it.job === job } }) {
@@ -731,6 +735,23 @@
         }
     }
 
+    private fun hasRoom(m: Machine, job: Job) = types[m.type]?.let { job.need.fits(m.free(it)) } == true
+
+    private fun waitsForRoom(job: Job, ready: List<Machine>): Boolean {
+        val until = job.roomComing ?: return false
+        return now < until && ready.none { it.hasImage(job.spec.image) && hasRoom(it, job) && allowed(job, it) }
+    }
+
+    /** Whether the aim for the job's class can be met only where its image is cached. */
+    override fun needsCache(job: Job): Boolean {
+        val within = waitBounds[job.spec.jobClass] ?: return false
+        val rate = commonType?.fetchGbPerS ?: return false
+        return (job.spec.imageGb / rate.coerceAtLeast(0.01)).seconds > within
+    }
+
+    private val waitBounds: Map<String, Duration> = config.objectives.filter { it.kind == "wait" && it.jobClass != null }
+        .associate { it.jobClass.orEmpty() to (it.within ?: Duration.INFINITE) }
+
     /** Stops lower work where a waiting job of higher priority needs its room, least loss first. */
     private fun makeRoom(ready: List<Machine>) {
         val waiting = jobs.values
@@ -816,6 +837,7 @@
         job.placements[task] = p
         machine.placements[p.key] = p
         charge(job, +1)
+        note("place task=${job.spec.id}/$task attempt=$a class=${job.spec.jobClass} machine=${machine.id} cached=${machine.hasImage(job.spec.image)} waited=${now - job.seenAt}")
     }
 
     override fun gangPlaced(job: Job) = deferCached(job)
--- a/src/main/kotlin/glenspool/core/capacity/Capacity.kt
+++ b/src/main/kotlin/glenspool/core/capacity/Capacity.kt
@@ -45,14 +45,6 @@
         while (a.recent.size > RECENT) a.recent.removeFirst()
     }
 
-    fun ended(@Suppress("UNUSED_PARAMETER") job: Job) = Unit
-
-    fun appeared(@Suppress("UNUSED_PARAMETER") l: ListedMachine, @Suppress("UNUSED_PARAMETER") now: Duration) = Unit
-
-    fun cameUp(@Suppress("UNUSED_PARAMETER") m: Machine, @Suppress("UNUSED_PARAMETER") now: Duration) = Unit
-
-    fun dud(@Suppress("UNUSED_PARAMETER") m: Machine, @Suppress("UNUSED_PARAMETER") now: Duration) = Unit
-
     fun answered(r: Rent, got: Int, now: Duration) {
         open.remove(r.request)
         retryAt.remove(r.request)
--- a/src/main/kotlin/glenspool/core/placement/Round.kt
+++ b/src/main/kotlin/glenspool/core/placement/Round.kt
@@ -32,6 +32,9 @@
     /** Whether the job's team stays within its guarantee with one more task of the job. */
     fun withinGuarantee(job: Job): Boolean
 
+    /** Whether the job's aim can be met only where its image is cached. */
+    fun needsCache(job: Job): Boolean
+
     fun fastestType(jobClass: String): String?
 
     fun place(job: Job, task: Int, machine: Machine, attempt: Long?)
@@ -188,8 +191,13 @@
         var s = if (fastest == null || m.type == fastest) 0 else 1000
         s += if (m.hasImage(job.spec.image)) 0 else if (m.willHaveImage(job.spec.image)) 50 else 100
         s += view.misfit(job, m) * 60
-        // An empty machine is worth most whole: to a gang, or returned.
-        if (m.busyTasks() == 0 || m.retiring) s += 20
+        if (job.spec.kind == JobKind.SERVICE && view.needsCache(job)) {
+            // Spread out, such services leave room and their images on many machines for those to come.
+            s += 5 * m.placements.values.count { it.job.spec.kind == JobKind.SERVICE }
+        } else if (m.busyTasks() == 0 || m.retiring) {
+            // An empty machine is worth most whole: to a gang, or returned.
+            s += 20
+        }
         if (job.spec.kind == JobKind.SERVICE) s += m.placements.values.count { it.job === job }
         if (m.slowness > 1.5) s += 400
         return s
--- a/src/test/kotlin/glenspool/core/RoundModelTest.kt
+++ b/src/test/kotlin/glenspool/core/RoundModelTest.kt
@@ -38,6 +38,8 @@
 
         override fun withinGuarantee(job: Job) = false
 
+        override fun needsCache(job: Job) = job.spec.image == "i0"
+
         override fun fastestType(jobClass: String): String? = null
 
         override fun place(job: Job, task: Int, machine: Machine, attempt: Long?) {
--- a/src/test/kotlin/glenspool/standin/World.kt
+++ b/src/test/kotlin/glenspool/standin/World.kt
@@ -7,6 +7,7 @@
 import glenspool.core.Delete
 import glenspool.core.Direct
 import glenspool.core.DirectOutcome
+import glenspool.core.Note
 import glenspool.core.Probe
 import glenspool.core.RaiseToken
 import glenspool.core.Rent
@@ -214,6 +215,7 @@
                 }
                 ifLeading(s) { tokenRaised(if (ok) t else null) }
             }
+            is Note -> check(a.text.isNotEmpty())
             is Store -> write(a, s)
         }
     }
