--- a/src/main/kotlin/glenspool/controller/Leadership.kt
+++ b/src/main/kotlin/glenspool/controller/Leadership.kt
@@ -145,11 +145,11 @@
 
     companion object {
         private val log = LoggerFactory.getLogger(Leadership::class.java)
-        private val TTL = 4.seconds
+        private val TTL = 3.seconds
 
         /** The lease less what clocks may drift in it and a margin for a stalled process. */
         private val VALID = TTL * 0.999 - 400.milliseconds
-        private val RENEW_EVERY = 1.seconds
+        private val RENEW_EVERY = 700.milliseconds
         private val RETRY = 300.milliseconds
         private val IDLE = 200.milliseconds
         private val FRESH = 7.seconds
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -80,7 +80,7 @@
     private var storing: List<JobWrite> = emptyList()
 
     val freshness: Duration get() = config.report * 2.2 + 1.seconds
-    private val silence: Duration get() = maxOf(config.lease * config.tuning.silenceShare, config.report * 3.0)
+    private val silence: Duration get() = maxOf(config.lease * config.tuning.silenceShare, config.report * 2.5)
 
     /** Runs [event] at the given time and returns what has to be done. */
     fun step(now: Duration, wall: Duration, event: Scheduler.() -> Unit): List<Action> {
--- a/src/main/kotlin/glenspool/core/Tuning.kt
+++ b/src/main/kotlin/glenspool/core/Tuning.kt
@@ -16,7 +16,7 @@
     /** An ordinary machine that has been empty for this long is returned. */
     val idleReturn: Duration = 20.seconds,
     /** Share of a lease after which a silent machine is replaced. */
-    val silenceShare: Double = 0.5,
+    val silenceShare: Double = 0.3,
     /** Spare places kept for critical services, as a multiple of what arrives while a machine boots. */
     val headroom: Double = 1.0,
     /** A machine that has not come up after this many usual boot times is replaced. */
