--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -716,37 +716,64 @@
     }
 
     /**
-     * A critical service whose image is cached only where lower work fills the machine: that work makes room at
-     * once, and the service waits the moment that takes, since a fetch elsewhere would take far longer.
+     * Urgent work whose image is cached only where lower work fills the machine: that work makes room at once,
+     * and the job waits the moment that takes, since a fetch elsewhere would take far longer.
      */
     private fun clearCached(open: List<Job>, ready: List<Machine>) {
         for (job in open) {
-            if (job.rank != Priority.CRITICAL || job.spec.kind == JobKind.GANG || job.spec.imageGb <= 0.0) continue
-            if (job.roomComing != null || teamRoom(job) <= 0) continue
+            if (job.rank < Priority.URGENT || job.roomComing != null) continue
+            val patience = if (job.rank == Priority.CRITICAL) ROOM_PATIENCE else ROOM_PATIENCE_SAVING
+            if (fetchTime(job) < patience * 2) continue
+            val wanted = minOf(job.waitingCount(), teamRoom(job))
+            if (wanted <= 0 || job.spec.kind == JobKind.GANG && wanted < job.waitingCount()) continue
             val usable = ready.filter { allowed(job, it) && it.hasImage(job.spec.image) }
-            if (usable.any { hasRoom(it, job) }) continue
+            if (roomFor(job, usable) >= wantedAtOnce(job)) continue
+            if (job.spec.kind == JobKind.GANG && (job.spec.sameZone && usable.distinctBy { it.zone }.size > 1 || usable.sumOf { possibleRoom(it, job) } < wanted)) continue
             val claimed = HashMap<Machine, Amount>()
-            var wanted = minOf(job.waitingCount(), teamRoom(job))
+            var left = wanted
             for (m in usable.sortedBy { m -> m.placements.values.count { it.job === job } }) {
-                if (wanted <= 0) break
-                wanted -= makeRoomOn(m, job, claimed, 1)
+                if (left <= 0) break
+                left -= makeRoomOn(m, job, claimed, if (job.spec.kind == JobKind.GANG) left else 1)
             }
-            if (claimed.isNotEmpty()) job.roomComing = now + ROOM_PATIENCE
+            if (claimed.isNotEmpty()) job.roomComing = now + patience
         }
     }
 
-    private fun hasRoom(m: Machine, job: Job) = types[m.type]?.let { job.need.fits(m.free(it)) } == true
+    private fun wantedAtOnce(job: Job) = if (job.spec.kind == JobKind.GANG) job.waitingCount() else 1
+
+    private fun fetchTime(job: Job): Duration = (job.spec.imageGb / (commonType?.fetchGbPerS ?: 1.0).coerceAtLeast(0.01)).seconds
+
+    /** How many tasks of the job the machines have room for. */
+    private fun roomFor(job: Job, on: List<Machine>): Int = on.sumOf { m -> types[m.type]?.let { times(job.need, m.free(it)) } ?: 0 }
+
+    /** The same if lower work made way. */
+    private fun possibleRoom(m: Machine, job: Job): Int {
+        var room = types[m.type]?.let { m.free(it) } ?: return 0
+        for (p in m.placements.values) if (yields(p, job)) room += p.job.need
+        return times(job.need, room)
+    }
+
+    private fun times(need: Amount, room: Amount): Int {
+        var n = 0
+        var r = room
+        while (need.fits(r) && n < 64) {
+            r -= need
+            n++
+        }
+        return n
+    }
+
+    private fun yields(p: Placement, to: Job) = p.stop == null && p.step == Step.SEEN && p.job.rank < to.rank && p.job.spec.kind != JobKind.GANG
 
     private fun waitsForRoom(job: Job, ready: List<Machine>): Boolean {
         val until = job.roomComing ?: return false
-        return now < until && ready.none { it.hasImage(job.spec.image) && hasRoom(it, job) && allowed(job, it) }
+        return now < until && roomFor(job, ready.filter { it.hasImage(job.spec.image) && allowed(job, it) }) < wantedAtOnce(job)
     }
 
     /** Whether the aim for the job's class can be met only where its image is cached. */
     override fun needsCache(job: Job): Boolean {
         val within = waitBounds[job.spec.jobClass] ?: return false
-        val rate = commonType?.fetchGbPerS ?: return false
-        return (job.spec.imageGb / rate.coerceAtLeast(0.01)).seconds > within
+        return fetchTime(job) > within
     }
 
     private val waitBounds: Map<String, Duration> = config.objectives.filter { it.kind == "wait" && it.jobClass != null }
@@ -780,7 +807,7 @@
         for (p in stopping) room += p.job.need
         var made = 0
         val victims = m.placements.values
-            .filter { it.stop == null && it.step == Step.SEEN && it.job.rank < job.rank && it.job.spec.kind != JobKind.GANG }
+            .filter { yields(it, job) }
             .sortedWith(compareBy<Placement> { it.job.rank }.thenBy { it.job.lossOf(it, now) })
             .toMutableList()
         while (made < wanted) {
@@ -881,6 +908,9 @@
         private val HOPELESS = 3600.seconds
         /** How long a service waits for room on a machine with its image; the exit is reported in far less. */
         private val ROOM_PATIENCE = 600.milliseconds
+
+        /** The same where the lower work saves first. */
+        private val ROOM_PATIENCE_SAVING = 7.seconds
         private val STALL = 3.seconds
         private val SOFT_DELAY = 1500.milliseconds
         private val LOOSE_PATIENCE = 1.seconds
