--- a/src/main/kotlin/glenspool/core/capacity/Capacity.kt
+++ b/src/main/kotlin/glenspool/core/capacity/Capacity.kt
@@ -106,7 +106,7 @@
             val each = maxOf(spec.estimate, 2.seconds)
             val slack = slackOf(job)
             val lead = leadTime(spec)
-            val spotPatience = maxOf(lead * 0.5, slack * 0.25)
+            val spotPatience = maxOf(lead * 0.5, slack * 0.25) * spotDiscount(spec)
             val ordinaryPatience = maxOf(lead * 1.5, slack * 0.5)
             repeat(minOf(job.waitingCount(), core.teamRoom(job), MAX_PER_JOB)) {
                 if (place(spec, virtual, null)) return@repeat
@@ -125,6 +125,13 @@
         }
     }
 
+    /** What a spot machine costs of an ordinary one's price: the cheaper, the sooner it is worth renting. */
+    private fun spotDiscount(spec: JobSpec): Double {
+        if (!spec.spot) return 1.0
+        val t = core.types.values.firstOrNull { spec.need.fits(it.room) } ?: return 1.0
+        return (t.spotPrice / t.price.coerceAtLeast(1e-9)).coerceIn(0.0, 1.0)
+    }
+
     private fun fitsInto(need: Amount, room: Amount): Int {
         var n = 0
         var r = room
