--- a/src/main/kotlin/glenspool/cli/Main.kt
+++ b/src/main/kotlin/glenspool/cli/Main.kt
@@ -1,5 +1,7 @@
 package glenspool.cli
 
+import glenspool.config.OperatorScript
+import glenspool.config.Settings
 import glenspool.config.SettingsError
 import glenspool.config.SettingsReader
 import glenspool.controller.Node
@@ -15,7 +17,7 @@
 private const val USAGE = """usage: glenspool COMMAND [OPTIONS]
 
   serve --config FILE [--script FILE]          run a controller until it is killed
-  check-config FILE [--script FILE]            check a settings file, and a tuning script
+  check-config [--script FILE] FILE            check a settings file, and a tuning script
   job submit --node ADDR FILE                  submit a job described in a JSON file
   job show --node ADDR ID                      show a job
   job withdraw --node ADDR ID                  cancel a job
@@ -27,27 +29,32 @@
 class UsageError(message: String) : Exception(message)
 
 fun main(args: Array<String>) {
+    exitProcess(execute(args.toList()))
+}
+
+/** Runs a command and returns the exit code: 0 done, 1 failed, 2 wrong usage. */
+fun execute(args: List<String>): Int {
     // Must be set before the first logger exists.
     val level = System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "warn", "info", "debug", "trace") } ?: "info"
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
     System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true")
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
-    exitProcess(
-        try {
-            command(args.toList())
-        } catch (e: UsageError) {
-            System.err.println("glenspool: ${e.message}")
-            System.err.println("Try 'glenspool --help'.")
-            2
-        } catch (e: ParseException) {
-            System.err.println("glenspool: ${e.message}")
-            System.err.println("Try 'glenspool --help'.")
-            2
-        } catch (e: SettingsError) {
-            e.problems.forEach { System.err.println("glenspool: $it") }
-            1
-        },
-    )
+    return try {
+        command(args)
+    } catch (e: UsageError) {
+        usage(e)
+    } catch (e: ParseException) {
+        usage(e)
+    } catch (e: SettingsError) {
+        e.problems.forEach { System.err.println("glenspool: $it") }
+        1
+    }
+}
+
+private fun usage(e: Exception): Int {
+    System.err.println("glenspool: ${e.message}")
+    System.err.println("Try 'glenspool --help'.")
+    return 2
 }
 
 private fun command(args: List<String>): Int {
@@ -56,6 +63,7 @@
         "--help", "-h" -> println(USAGE)
         "--version" -> println("glenspool ${Tuning::class.java.`package`.implementationVersion ?: "development"}")
         "serve" -> return serve(args.drop(1))
+        "job" -> return JobCommand.run(args.drop(1))
         "check-config" -> return checkConfig(args.drop(1))
         "rehearse" -> return Rehearsal.run()
         else -> throw UsageError("unknown command '${args.first()}'")
@@ -70,7 +78,7 @@
     if (line.argList.isNotEmpty()) throw UsageError("unexpected argument '${line.argList.first()}'")
     val settings = SettingsReader().read(File(line.getOptionValue("config")))
     HttpListener.configure(settings.maxSockets)
-    val node = Node(settings, Tuning())
+    val node = Node(settings, tuning(settings, line.getOptionValue("script")))
     Runtime.getRuntime().addShutdownHook(Thread { node.close() })
     node.start()
     node.join()
@@ -80,7 +88,9 @@
 private fun checkConfig(args: List<String>): Int {
     val line = DefaultParser().parse(Options().addOption(Option.builder().longOpt("script").hasArg().build()), args.toTypedArray())
     val file = line.argList.singleOrNull() ?: throw UsageError("check-config needs one FILE")
-    SettingsReader().read(File(file))
+    tuning(SettingsReader().read(File(file)), line.getOptionValue("script"))
     println("$file: good")
     return 0
 }
+
+private fun tuning(settings: Settings, script: String?): Tuning = if (script == null) Tuning() else OperatorScript(settings).load(File(script))
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -523,7 +523,9 @@
     private fun mostAreHeard(but: Machine): Boolean {
         val others = machines.values.filter { it !== but && !it.deleting && it.everHeard }
         if (others.isEmpty()) return now - startedAt > config.lease * 2
-        val fresh = others.count { o -> o.heard.let { it != null && now - it <= freshness } }
+        // Clearly shorter than the silence bound: machines that all fell silent together must not vouch for each other.
+        val recent = maxOf(silence * 0.6, config.report * 1.4)
+        val fresh = others.count { o -> o.heard.let { it != null && now - it <= recent } }
         return fresh * 2 > others.size
     }
 
--- a/src/main/kotlin/glenspool/core/Tuning.kt
+++ b/src/main/kotlin/glenspool/core/Tuning.kt
@@ -21,8 +21,6 @@
     val headroom: Double = 1.0,
     /** A machine that has not come up after this many usual boot times is replaced. */
     val bootPatience: Double = 2.5,
-    /** Waiting work that running tasks are expected to make room for within this time rents nothing. */
-    val rentPatience: Duration = 10.seconds,
     /** How long a refused kind of machine is not asked for again. */
     val refusalPause: Duration = 15.seconds,
 )
--- /dev/null
+++ b/src/test/kotlin/glenspool/cli/CommandLineTest.kt
@@ -0,0 +1,87 @@
+package glenspool.cli
+
+import glenspool.config.SettingsTest
+import glenspool.http.HttpListener
+import glenspool.http.cbor
+import glenspool.wire.Cbor
+import org.http4k.core.Status
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import java.io.ByteArrayOutputStream
+import java.io.File
+import java.io.PrintStream
+import java.net.InetSocketAddress
+
+class CommandLineTest {
+    @TempDir
+    lateinit var dir: File
+
+    private class Result(val code: Int, val out: String, val err: String)
+
+    private fun run(vararg args: String): Result {
+        val out = ByteArrayOutputStream()
+        val err = ByteArrayOutputStream()
+        val before = System.out to System.err
+        System.setOut(PrintStream(out))
+        System.setErr(PrintStream(err))
+        try {
+            return Result(execute(args.toList()), out.toString(), err.toString())
+        } finally {
+            System.setOut(before.first)
+            System.setErr(before.second)
+        }
+    }
+
+    @Test
+    fun `wrong usage is told on standard error with code 2`() {
+        val wrong = listOf(
+            emptyList(), listOf("dance"), listOf("serve"), listOf("serve", "--config"), listOf("serve", "--colour", "x", "--config", "y"), listOf("check-config"),
+            listOf("job"), listOf("job", "show", "run-1"), listOf("job", "show", "--node", "nowhere", "run-1"), listOf("job", "sing", "--node", "127.0.0.1:1", "x"),
+        )
+        for (args in wrong) {
+            val r = run(*args.toTypedArray())
+            assertEquals(2, r.code, "$args")
+            assertTrue(r.err.startsWith("glenspool: "), "$args")
+            assertEquals("", r.out)
+        }
+    }
+
+    @Test
+    fun `help and version answer on standard output`() {
+        assertTrue(run("--help").out.contains("check-config"))
+        assertTrue(run("--version").out.startsWith("glenspool "))
+    }
+
+    @Test
+    fun `check-config tells good from bad`() {
+        val good = File(dir, "good.toml").also { it.writeText(SettingsTest.GOOD) }
+        assertEquals(0, run("check-config", good.path).code)
+        val script = File(dir, "tune.lua").also { it.writeText("tuning.headroom = 99") }
+        val refused = run("check-config", "--script", script.path, good.path)
+        assertEquals(1, refused.code)
+        assertTrue(refused.err.contains("tuning.headroom"))
+        val bad = File(dir, "bad.toml").also { it.writeText(SettingsTest.GOOD.replace("lease_s = 14.0", "")) }
+        assertTrue(run("check-config", bad.path).err.contains("settings.workers.lease_s"))
+    }
+
+    @Test
+    fun `job commands speak to a node and pass its answer on`() {
+        val seen = ArrayList<String>()
+        HttpListener(InetSocketAddress("127.0.0.1", 0), "node", 4, { r ->
+            seen += "${r.method} ${r.uri.path}"
+            if (r.uri.path == "/api/jobs") Cbor.decodeMap(r.body.stream.readAllBytes())
+            if (r.uri.path.endsWith("nobody")) cbor(Status.NOT_FOUND, mapOf("error" to "no such job")) else cbor(Status.OK, mapOf("stage" to "pending"))
+        }).use { node ->
+            val addr = "127.0.0.1:${node.port}"
+            val file = File(dir, "job.json").also { it.writeText("""{"uid":"run-1"}""") }
+            assertEquals("""{"stage":"pending"}""", run("job", "submit", "--node", addr, file.path).out.trim())
+            assertEquals(0, run("job", "withdraw", "--node", addr, "run-1").code)
+            val unknown = run("job", "show", "--node", addr, "nobody")
+            assertEquals(1, unknown.code)
+            assertTrue(unknown.err.contains("404"))
+        }
+        assertEquals(listOf("POST /api/jobs", "POST /api/jobs/run-1/withdraw", "GET /api/jobs/nobody"), seen)
+    }
+}
--- a/src/test/kotlin/glenspool/standin/World.kt
+++ b/src/test/kotlin/glenspool/standin/World.kt
@@ -411,7 +411,7 @@
             w.images.add(spec.image)
             t.state = if (spec.kind == JobKind.GANG) TaskState.WAITING else TaskState.RUNNING
             t.at = now + if (spec.kind == JobKind.GANG) config.gangWait else spec.estimate
-        } else if (t.state == TaskState.RUNNING && spec.kind != JobKind.SERVICE) {
+        } else if (t.state == TaskState.RUNNING && spec.kind == JobKind.ARRAY) {
             trulyDone.getValue(k.job).set(k.task)
             exit(t, Exit.DONE)
         } else if (t.state == TaskState.WAITING) {
@@ -427,7 +427,8 @@
             val running = members.filter { it.third.state == TaskState.RUNNING }
             if (waiting.size == spec.tasks) {
                 waiting.forEach { it.third.state = TaskState.RUNNING; it.third.at = now + spec.estimate }
-            } else if (running.isNotEmpty() && members.any { it.third.exit == Exit.DONE }) {
+            } else if (running.size == spec.tasks && running.all { (w, _, t) -> !w.hanging && now >= t.at }) {
+                // They complete together.
                 running.forEach { (_, k, t) -> trulyDone.getValue(k.job).set(k.task); exit(t, Exit.DONE) }
             } else if (running.isNotEmpty() && running.size < spec.tasks) {
                 running.forEach { exit(it.third, Exit.PEERS) }
