--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -513,7 +513,8 @@
             return
         }
         val limit = if (m.missingSince.let { it != null && now - it > config.listLag * 2 + 2.seconds } && m.listed) config.report * 2.5 else silence
-        if (quiet > limit && mostAreHeard(m)) {
+        // Silence for two leases is given up in any case: if most machines are really lost, waiting would never end.
+        if (quiet > limit && (mostAreHeard(m) || quiet > config.lease * 2)) {
             if (!m.everHeard && m.addr.isEmpty() && now - startedAt < config.listLag * 2 + 2.seconds) return
             delete(m, "silent")
         }
@@ -574,8 +575,14 @@
     private fun tend(job: Job) {
         if (job.cancelled && !job.writing) job.placements.values.filter { it.step == Step.INTENDED }.forEach(::drop)
         if (job.spec.kind == JobKind.GANG && !job.cancelled && job.placements.isNotEmpty()) tendGang(job)
-        for (p in job.placements.values) {
+        for (p in job.placements.values.toList()) {
             val m = machines[p.machine] ?: continue
+            if (p.stop != null && p.step == Step.ORDERED && p.startSent == null && m.loose.none { it.key == p.key && it.attempt == p.attempt }) {
+                // Its start was never sent, or surely not carried out: no report would ever show it ended.
+                drop(p)
+                job.soft(now)
+                continue
+            }
             if (p.step == Step.ORDERED && p.startSent == null && !p.deferred && now >= m.directRetry && m.orders.none { it.key == p.key && it.attempt == p.attempt }) {
                 m.orders.add(StartTask(p.key, p.attempt))
             }
@@ -899,7 +906,9 @@
 
     override fun recordRoom(job: Job): Int = (config.valueBytes - RECORD_BASE) / BYTES_PER_INTENT - job.placements.size
 
-    override fun avoids(job: Job, machine: Machine): Boolean = machine.id in job.failedOn && job.failedOn.size < 4
+    /** Where a start of the job may still arrive late, another attempt of it would only meet that one. */
+    override fun avoids(job: Job, machine: Machine): Boolean =
+        machine.id in job.failedOn && job.failedOn.size < 4 || machine.loose.any { it.key.job == job.spec.id }
 
     override fun misfit(job: Job, machine: Machine): Int = if (job.spec.spot && !machine.spot) 1 else 0
 
