A node out of the state service's reach passes requests to a peer at once

Cause: behind a cut that holds packets, each request first waited for the state service's time-out; a look each second now shows the cut.

--- a/src/main/kotlin/glenspool/api/UserApi.kt
+++ b/src/main/kotlin/glenspool/api/UserApi.kt
@@ -57,9 +57,13 @@
         val path = request.uri.path
         if (path == "/ready" && request.method == Method.GET) return ready()
         val body = request.body.bounded() ?: return error(Status.BAD_REQUEST, "the body is longer than 64 KiB")
-        val first = serve(request.method, path, body)
-        if (first != null) return first
-        val passed = peers.relay(RelayRequest(request.method.name, path, body), RELAY_TIMEOUT) ?: return tryLater()
+        // Out of the state service's reach, a peer answers sooner than another attempt would time out.
+        if (state.failing) relayed(request.method, path, body)?.let { return it }
+        return serve(request.method, path, body) ?: relayed(request.method, path, body) ?: tryLater()
+    }
+
+    private fun relayed(method: Method, path: String, body: ByteArray): Response? {
+        val passed = peers.relay(RelayRequest(method.name, path, body), RELAY_TIMEOUT) ?: return null
         val r = Response(Status(passed.status, null)).header("Content-Type", "application/cbor").body(passed.body.inputStream())
         return if (passed.retryAfter != null) r.header("Retry-After", passed.retryAfter) else r
     }
--- a/src/main/kotlin/glenspool/state/Replica.kt
+++ b/src/main/kotlin/glenspool/state/Replica.kt
@@ -54,8 +54,9 @@
     /** The duty that serves [sync]: one request for all who wait. */
     fun serveSyncs() {
         while (!Thread.currentThread().isInterrupted) {
-            val first = waiters.take()
-            val all = arrayListOf(first)
+            val all = ArrayList<CompletableFuture<Boolean>>()
+            // Nobody asks: a look of its own shows soon whether the state service is out of reach.
+            waiters.poll(LOOK_EVERY.inWholeMilliseconds, TimeUnit.MILLISECONDS)?.let { all.add(it) }
             waiters.drainTo(all)
             val ok = refresh(Duration.ZERO)
             all.forEach { it.complete(ok) }
@@ -136,6 +137,7 @@
         private val log = LoggerFactory.getLogger(Replica::class.java)
         private const val WATCH_SHARE = 0.08
         private const val SYNC_SHARE = 0.12
+        private val LOOK_EVERY = 1.seconds
         private val WATCH_WAIT = 5.seconds
         private val RETRY_GAP = 300.milliseconds
     }
--- a/src/main/kotlin/glenspool/state/StateClient.kt
+++ b/src/main/kotlin/glenspool/state/StateClient.kt
@@ -26,6 +26,11 @@
 
 /** The state service's requests, one for one. */
 class StateClient(private val addr: String, private val http: HttpCaller) {
+    /** Whether the last request that told anything found the state service out of this node's reach. */
+    @Volatile
+    var failing = false
+        private set
+
     fun get(key: String): StateResult<StateWire.Item> = map(http.get(addr, "${StateWire.GET}/$key", TIMEOUT)) { StateWire.item(it) }
 
     data class Page(val items: List<StateWire.Item>, val more: Boolean, val revision: Long)
@@ -37,7 +42,7 @@
     data class Changes(val changes: List<StateWire.Change>, val revision: Long)
 
     fun follow(prefix: String, after: Long, wait: Duration): StateResult<Changes> =
-        map(http.get(addr, StateWire.follow(prefix, after, wait), wait + TIMEOUT)) {
+        map(http.get(addr, StateWire.follow(prefix, after, wait), wait + FOLLOW_TIMEOUT)) {
             Changes(StateWire.changes(it), StateWire.revision(it))
         }
 
@@ -51,7 +56,15 @@
 
     fun renew(lease: Long): StateResult<Unit> = map(http.post(addr, StateWire.renew(lease), emptyMap(), RENEW_TIMEOUT)) { }
 
-    private fun <T> map(r: CallResult, read: (Fields) -> T): StateResult<T> = when (r) {
+    private fun <T> map(r: CallResult, read: (Fields) -> T): StateResult<T> = convert(r, read).also {
+        when (it) {
+            is StateResult.Unknown -> failing = true
+            is StateResult.Refused -> if (it.status == 0 || it.status >= 500) failing = true
+            else -> failing = false
+        }
+    }
+
+    private fun <T> convert(r: CallResult, read: (Fields) -> T): StateResult<T> = when (r) {
         is CallResult.NotSent -> StateResult.Refused(0)
         is CallResult.NoAnswer -> StateResult.Unknown(r.why)
         is CallResult.Answer -> try {
@@ -68,6 +81,7 @@
 
     companion object {
         private val TIMEOUT = 1500.milliseconds
+        private val FOLLOW_TIMEOUT = 900.milliseconds
         private val RENEW_TIMEOUT = 1.seconds
         private val LIST_TIMEOUT = 5.seconds
     }
