--- a/src/main/kotlin/glenspool/core/cluster/Machine.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Machine.kt
@@ -94,10 +94,6 @@
         }
     }
 
-    fun newSession() {
-        images.entries.removeIf { false }
-    }
-
     fun ready(now: Duration, freshness: Duration): Boolean {
         val h = heard ?: return false
         val bad = badUntil
@@ -105,8 +101,6 @@
     }
 
     fun busyTasks(): Int = placements.size + strays.size
-
-    fun fetching(image: String): Boolean = placements.values.any { it.job.spec.image == image && it.state == TaskState.FETCHING }
 }
 
 /** Whether a job may use a machine at all, whatever else runs. */
