Renting and preemption look at the first aim a job can still meet

Late refits were mostly preempted ones that then waited a minute behind others: work that can no longer be in time is now preempted first.

--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -817,7 +817,7 @@
         var made = 0
         val victims = m.placements.values
             .filter { yields(it, job) }
-            .sortedWith(compareBy<Placement> { it.job.rank }.thenBy { it.job.lossOf(it, now) })
+            .sortedWith(compareBy<Placement> { it.job.rank }.thenByDescending { order(it.job) }.thenBy { it.job.lossOf(it, now) })
             .toMutableList()
         while (made < wanted) {
             if (!job.need.fits(room)) {
@@ -899,7 +899,7 @@
         return job.submitted + HOPELESS
     }
 
-    private val finishBounds: Map<String, List<Duration>> = config.objectives
+    val finishBounds: Map<String, List<Duration>> = config.objectives
         .filter { it.kind == "finished" && it.jobClass != null && it.within != null }
         .groupBy({ it.jobClass.orEmpty() }, { it.within ?: Duration.ZERO })
         .mapValues { (_, l) -> l.sorted() }
--- a/src/main/kotlin/glenspool/core/capacity/Capacity.kt
+++ b/src/main/kotlin/glenspool/core/capacity/Capacity.kt
@@ -142,13 +142,12 @@
         return n
     }
 
-    /** How long the job may wait for its places without being late. */
+    /** How long the job may wait for its places and still meet the first aim that it can meet at all. */
     private fun slackOf(job: Job): Duration {
         val spec = job.spec
         val deadline = spec.deadline
         if (deadline != null) return maxOf(Duration.ZERO, deadline - spec.estimate)
-        val within = core.config.objectives.filter { it.jobClass == spec.jobClass && it.within != null }.mapNotNull { it.within }.minOrNull()
-        return if (within == null) 60.seconds else maxOf(Duration.ZERO, within - spec.estimate)
+        return core.finishBounds[spec.jobClass].orEmpty().map { it - spec.estimate * 1.15 }.firstOrNull { it >= Duration.ZERO } ?: 60.seconds
     }
 
     /** From the rental request until a task runs. */
