A leader that no worker reaches gives way

Now it ends its lease after 2.5 silent reports and stands back for a worker lease. Tests: GuardsTest, the leader that no worker reaches.

--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -11,6 +11,7 @@
 import glenspool.core.Probe
 import glenspool.core.RaiseToken
 import glenspool.core.Rent
+import glenspool.core.Resign
 import glenspool.core.Scheduler
 import glenspool.core.SchedulerConfig
 import glenspool.core.Store
@@ -249,6 +250,7 @@
                 log.info("token raised to={}", t)
                 post(Event.Raised(t))
             }
+            is Resign -> call({ log.warn("could not resign") }) { leadership.resign(a.why, settings.workers.lease) }
             is Note -> if (a.important) log.info(a.text) else log.debug(a.text)
             is Store -> if (!writes.offer(s.term to a)) post(Event.Stored(StoreOutcome.Unknown, s.term))
         }
--- a/src/main/kotlin/glenspool/controller/Leadership.kt
+++ b/src/main/kotlin/glenspool/controller/Leadership.kt
@@ -62,6 +62,17 @@
         deposed()
     }
 
+    /** Stops acting, then ends the lease so that another node can begin at once; this one stands back for a while. */
+    fun resign(why: String, standBack: Duration) {
+        val t = term ?: return
+        standBackUntil = clock.markNow() + standBack
+        stepDown(why)
+        client.endLease(t.lease)
+    }
+
+    @Volatile
+    private var standBackUntil: ComparableTimeMark? = null
+
     private fun keepOrDrop(): Long {
         val t = term ?: return 0
         val recorded = replica.get(Keys.LEAD)
@@ -89,6 +100,7 @@
     private fun tryElect(): Long {
         val age = replica.age()
         if (age == null || age > FRESH) return IDLE.inWholeMilliseconds
+        if (standBackUntil?.hasNotPassedNow() == true) return IDLE.inWholeMilliseconds
         val recorded = replica.get(Keys.LEAD)
         // Our own record from an earlier process: that process has ended, so its place is free. It is never
         // taken for ours, since it is replaced under its exact version.
--- a/src/main/kotlin/glenspool/core/Actions.kt
+++ b/src/main/kotlin/glenspool/core/Actions.kt
@@ -19,6 +19,9 @@
 /** Raise the token, so that commands on their way become void. */
 data object RaiseToken : Action
 
+/** Give the leadership to another node: this one can't do the work. */
+data class Resign(val why: String) : Action
+
 /** Something an operator may want to read in the log: stable keys, one line. */
 data class Note(val text: String, val important: Boolean) : Action
 
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -301,6 +301,23 @@
         for (j in jobs.values.toList()) tend(j)
         if (machines.values.any { m -> m.loose.any { now - it.since > LOOSE_PATIENCE } }) raiseToken()
         capacity.tick(now)
+        if (deaf() && !resigned) {
+            resigned = true
+            actions.add(Resign("no worker is heard"))
+        }
+    }
+
+    private var resigned = false
+
+    /**
+     * A leader that no worker reaches keeps them all from one that could answer, until their leases end. So it
+     * gives way well before that; where nobody else hears them either, nothing is lost.
+     */
+    private fun deaf(): Boolean {
+        val up = machines.values.filter { !it.deleting && !it.booting }
+        if (up.size < DEAF_MACHINES) return false
+        val last = up.mapNotNull { it.heard }.maxOrNull()
+        return if (last == null) now - startedAt > config.lease * 0.6 else now - last > maxOf(config.report * 2.5, 3.seconds)
     }
 
     // ---- evidence ----
@@ -315,7 +332,10 @@
         m.spot = r.spot
         m.addr = r.addr
         m.booting = false
-        if (r.session > m.session) m.loose.removeIf { it.session < r.session }
+        if (r.session > m.session) {
+            if (m.session > 0) note("lease-ended machine=${m.id} session=${r.session} tasks=${m.placements.size}", important = true)
+            m.loose.removeIf { it.session < r.session }
+        }
         m.loose.removeIf { it.token < r.token }
         m.session = r.session
         m.seq = r.seq
@@ -922,6 +942,7 @@
 
         /** The same where the lower work saves first. */
         private val ROOM_PATIENCE_SAVING = 7.seconds
+        private const val DEAF_MACHINES = 3
         private val STALL = 3.seconds
         private val SOFT_DELAY = 1500.milliseconds
         private val LOOSE_PATIENCE = 1.seconds
--- a/src/main/kotlin/glenspool/state/StateClient.kt
+++ b/src/main/kotlin/glenspool/state/StateClient.kt
@@ -56,6 +56,8 @@
 
     fun renew(lease: Long): StateResult<Unit> = map(http.post(addr, StateWire.renew(lease), emptyMap(), RENEW_TIMEOUT)) { }
 
+    fun endLease(lease: Long): StateResult<Unit> = map(http.call("DELETE", addr, "${StateWire.LEASES}/$lease", null, RENEW_TIMEOUT)) { }
+
     private fun <T> map(r: CallResult, read: (Fields) -> T): StateResult<T> = convert(r, read).also {
         when (it) {
             is StateResult.Unknown -> failing = true
--- a/src/test/kotlin/glenspool/core/GuardsTest.kt
+++ b/src/test/kotlin/glenspool/core/GuardsTest.kt
@@ -222,6 +222,22 @@
         assertTrue(wait(30.seconds).any { it is Delete })
     }
 
+    @Test
+    fun `a leader that no worker reaches gives way before their leases end`() {
+        busy(4)
+        val silent = wait(core.config.lease / 2)
+        assertEquals(1, silent.count { it is Resign })
+    }
+
+    @Test
+    fun `a leader that hears some workers stays`() {
+        val running = busy(4)
+        repeat(10) {
+            assertTrue(wait(2.seconds).none { it is Resign })
+            say(report("m1", listOf(running.getValue("m1"))))
+        }
+    }
+
     @Test
     fun `a start that surely did not happen does not keep a cancelled job`() {
         started()
--- a/src/test/kotlin/glenspool/standin/World.kt
+++ b/src/test/kotlin/glenspool/standin/World.kt
@@ -11,6 +11,7 @@
 import glenspool.core.Probe
 import glenspool.core.RaiseToken
 import glenspool.core.Rent
+import glenspool.core.Resign
 import glenspool.core.Scheduler
 import glenspool.core.SchedulerConfig
 import glenspool.core.Store
@@ -220,6 +221,10 @@
                 }
                 ifLeading(s) { tokenRaised(if (ok) t else null) }
             }
+            is Resign -> {
+                if (leader === s) leader = null
+                after(1.seconds) { electWhenUp() }
+            }
             is Note -> check(a.text.isNotEmpty())
             is Store -> write(a, s)
         }
