--- a/src/main/kotlin/glenspool/cli/Main.kt
+++ b/src/main/kotlin/glenspool/cli/Main.kt
@@ -21,6 +21,7 @@
   job submit --node ADDR FILE                  submit a job described in a JSON file
   job show --node ADDR ID                      show a job
   job withdraw --node ADDR ID                  cancel a job
+  explain LOG                                  where tasks' time went, from a log at level debug
   --version, --help
 
 The log goes to standard error; LOG_LEVEL is error, info or debug."""
@@ -65,6 +66,7 @@
         "serve" -> return serve(args.drop(1))
         "job" -> return JobCommand.run(args.drop(1))
         "check-config" -> return checkConfig(args.drop(1))
+        "explain" -> return Explain.run(args.drop(1))
         "rehearse" -> return Rehearsal.run()
         else -> throw UsageError("unknown command '${args.first()}'")
     }
--- a/src/test/kotlin/glenspool/cli/CommandLineTest.kt
+++ b/src/test/kotlin/glenspool/cli/CommandLineTest.kt
@@ -66,6 +66,33 @@
         assertTrue(run("check-config", bad.path).err.contains("settings.workers.lease_s"))
     }
 
+    @Test
+    fun `explain adds up what a log tells`() {
+        val log = File(dir, "log").also {
+            it.writeText(
+                """
+                    1.0 n0 INFO Leadership - elected token=1 revision=1
+                    2.0 n0 DEBUG CoreLoop - place task=run-1/0 attempt=1 class=scan machine=i-1 cached=false waited=1s
+                    3.0 n0 DEBUG CoreLoop - stop task=run-1/0 attempt=1 machine=i-1 reason=PREEMPTED grace=0s
+                    4.0 n0 DEBUG CoreLoop - off task=run-1/0 attempt=1 machine=i-1 was=RUNNING
+                    9.5 n0 DEBUG CoreLoop - place task=run-1/0 attempt=2 class=scan machine=i-2 cached=true waited=8.5s
+                    12.0 n1 INFO Leadership - elected token=2 revision=9
+                    13.0 n1 INFO CoreLoop - give-up machine=i-2 reason=silent tasks=1 heard=null now=1s
+                not a log line
+                """.trimIndent(),
+            )
+        }
+        val r = log.useLines { Explain.read(it) }
+        val scan = r.classes.getValue("scan")
+        assertEquals(listOf(2, 1, 1), listOf(scan.places, scan.uncached, scan.again))
+        assertEquals(5.5, scan.away, 1e-9)
+        assertEquals(mapOf("PREEMPTED" to 1), scan.stops)
+        assertEquals(mapOf("silent" to 1), r.giveUps)
+        assertEquals(2.5, r.leaderless, 1e-9)
+        assertTrue(run("explain", log.path).out.contains("scan"))
+        assertEquals(2, run("explain").code)
+    }
+
     @Test
     fun `job commands speak to a node and pass its answer on`() {
         val seen = ArrayList<String>()
