--- a/src/main/kotlin/glenspool/api/UserApi.kt
+++ b/src/main/kotlin/glenspool/api/UserApi.kt
@@ -107,11 +107,9 @@
     private fun look(id: String): Found {
         finals.getIfPresent(id)?.let { return Found.Ended(it) }
         if (!replica.sync(SYNC_TIMEOUT)) return Found.Unreachable
-        val live = replica.get(Keys.job(id))
-        if (live != null) {
-            if (replica.get(Keys.cancel(id)) != null) return Found.Ended(JobWire.status(id, Stage.CANCELLED))
-            return Found.Live(RecordWire.decode(live.value))
-        }
+        // Read one by one, a cancelled job that is just being closed could look live and not cancelled.
+        val (live, cancelled) = replica.atOnce { get(Keys.job(id)) to (get(Keys.cancel(id)) != null) }
+        if (live != null) return if (cancelled) Found.Ended(JobWire.status(id, Stage.CANCELLED)) else Found.Live(RecordWire.decode(live.value))
         // Not live at a moment after the request came. A record moves from live to final in one transaction and
         // never back, so what isn't final now was not accepted at that moment.
         return when (val r = state.get(Keys.final(id))) {
@@ -143,6 +141,7 @@
         } catch (e: MalformedMessage) {
             return error(Status.BAD_REQUEST, e.message ?: "malformed")
         }
+        if (spec.recordBytes > settings.stateLimits.valueBytes / 2) return error(Status.BAD_REQUEST, "the job's description is too long")
         val fault = never(spec)
         if (fault != null) {
             // A job that is known already is answered as known, whatever the checks say today.
--- a/src/main/kotlin/glenspool/config/Settings.kt
+++ b/src/main/kotlin/glenspool/config/Settings.kt
@@ -100,7 +100,7 @@
                 number(st, "rps", "$s.state."),
                 number(st, "write_rps", "$s.state."),
                 (number(st, "value_kb", "$s.state.") * 1024).toInt(),
-                number(st, "txn_ops", "$s.state.").toInt(),
+                number(st, "txn_ops", "$s.state.", MIN_TXN_OPS).toInt(),
             ),
             cloudLimits = CloudSettings(number(cl, "rps", "$s.cloud."), seconds(cl, "list_lag_s", "$s.cloud.")),
             maxSockets = params.path("quota").path("fd_limit").asInt(1024),
@@ -122,7 +122,7 @@
         val v = n.path(name)
         val d = v.asDouble(Double.NaN)
         if (!v.isNumber || !d.isFinite() || d < min) {
-            problems += "$path$name: a number ${if (min == 0.0) "of 0 or more" else "above 0"} is needed"
+            problems += "$path$name: a number ${if (min == Double.MIN_VALUE) "above 0" else "of $min or more"} is needed"
             return 1.0
         }
         return d
@@ -130,6 +130,11 @@
 
     private fun seconds(n: JsonNode, name: String, path: String): Duration = number(n, name, path).seconds
 
+    private companion object {
+        /** One job's change can take as many. */
+        const val MIN_TXN_OPS = 3.0
+    }
+
     private fun addr(n: JsonNode, name: String, path: String): InetSocketAddress {
         val v = n.path(name).asText("")
         val port = v.substringAfterLast(':', "").toIntOrNull()
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -58,7 +58,7 @@
 
     data class Reported(val report: Report, val answer: CompletableFuture<Orders?>) : Event
 
-    data class DirectEnded(val sent: Direct, val outcome: DirectOutcome, val report: Report?) : Event
+    data class DirectEnded(val sent: Direct, val outcome: DirectOutcome, val report: Report?, val term: Term) : Event
 
     data class Probed(val machine: String, val report: Report?) : Event
 
@@ -144,7 +144,8 @@
             Event.Deposed -> session = null
             is Event.Changes -> step { e.changes.forEach { applyChange(it) } }
             is Event.Reported -> answer(e)
-            is Event.DirectEnded -> step { directEnded(e.sent.machine, e.sent, e.outcome, e.report) }
+            // An earlier term's call says nothing of this term's.
+            is Event.DirectEnded -> if (session?.term == e.term) step { directEnded(e.sent.machine, e.sent, e.outcome, e.report) }
             is Event.Probed -> step { probed(e.machine, e.report) }
             is Event.Listed -> step { listed(e.list) }
             is Event.Types -> step { typesKnown(e.list) }
@@ -229,10 +230,10 @@
 
     private fun perform(a: Action, s: Session) {
         when (a) {
-            is Direct -> call({ post(Event.DirectEnded(a, DirectOutcome.NOT_SENT, null)) }) {
+            is Direct -> call({ post(Event.DirectEnded(a, DirectOutcome.NOT_SENT, null, s.term)) }) {
                 val (outcome, report) = if (leadership.current() == s.term) workers.command(a) else DirectOutcome.NOT_SENT to null
                 if (log.isDebugEnabled) log.debug("direct machine={} commands={} outcome={}", a.machine, a.commands, outcome)
-                post(Event.DirectEnded(a, outcome, report))
+                post(Event.DirectEnded(a, outcome, report, s.term))
             }
             is Probe -> call({ post(Event.Probed(a.machine, null)) }) { post(Event.Probed(a.machine, workers.show(a.addr))) }
             is Rent -> cloudCall({ post(Event.RentEnded(a, RentOutcome.Unknown)) }) {
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -521,7 +521,13 @@
             }
             return
         }
-        if (m.notice != null) drainForNotice(m)
+        if (m.notice != null) {
+            if (m.busyTasks() == 0 && m.trusted) {
+                delete(m, "notice")
+                return
+            }
+            drainForNotice(m)
+        }
         if (quiet > config.report * 1.6 + 500.milliseconds && m.addr.isNotEmpty() && now >= m.probeAt) {
             m.probeAt = now + maxOf(2.seconds, config.report)
             actions.add(Probe(m.id, m.addr))
@@ -924,7 +930,7 @@
         .groupBy({ it.jobClass.orEmpty() }, { it.within ?: Duration.ZERO })
         .mapValues { (_, l) -> l.sorted() }
 
-    override fun recordRoom(job: Job): Int = (config.valueBytes - RECORD_BASE) / BYTES_PER_INTENT - job.placements.size
+    override fun recordRoom(job: Job): Int = (config.valueBytes - job.spec.recordBytes) / BYTES_PER_INTENT - job.placements.size
 
     /** Where a start of the job may still arrive late, another attempt of it would only meet that one. */
     override fun avoids(job: Job, machine: Machine): Boolean =
@@ -949,8 +955,7 @@
         val GRACE_SLACK = 2.seconds
         private const val MAX_DELETE = 100
 
-        /** Room for the job's own description and its done bits, and for one intent, in a stored value. */
-        private const val RECORD_BASE = 2000
+        /** What a task's place takes at most in a stored record. */
         private const val BYTES_PER_INTENT = 28
     }
 }
--- a/src/main/kotlin/glenspool/core/model/Model.kt
+++ b/src/main/kotlin/glenspool/core/model/Model.kt
@@ -58,6 +58,15 @@
 ) {
     /** At most this many tasks of a spread job may be in one zone. */
     val zoneCap: Int get() = if (spread) (tasks + 1) / 2 else Int.MAX_VALUE
+
+    /** At most what its stored description takes, with its done bits and without its tasks' places. */
+    val recordBytes: Int
+        get() = RECORD_FIELDS + 4 * (id.length + jobClass.length + team.length + image.length + (zone?.length ?: 0) + (types?.sumOf { it.length + 4 } ?: 0)) / 3 + minOf(tasks, 2048) / 6
+
+    companion object {
+        /** Field names, numbers and marks; texts come on top. */
+        private const val RECORD_FIELDS = 650
+    }
 }
 
 /** A machine type as the cloud offers it. */
--- a/src/main/kotlin/glenspool/state/Replica.kt
+++ b/src/main/kotlin/glenspool/state/Replica.kt
@@ -34,6 +34,9 @@
 
     fun get(key: String): StateWire.Item? = entries[key]
 
+    /** Several keys at one moment: changes made by one transaction are seen together or not at all. */
+    fun <T> atOnce(read: Replica.() -> T): T = synchronized(this) { read() }
+
     fun under(prefix: String): Collection<StateWire.Item> = entries.subMap(prefix, prefix + Char.MAX_VALUE).values
 
     /** Brings the copy to a state later than this call. False: the state service did not answer in time. */
--- a/src/test/kotlin/glenspool/api/UserApiTest.kt
+++ b/src/test/kotlin/glenspool/api/UserApiTest.kt
@@ -136,6 +136,13 @@
         assertEquals(404, show("run-2").status)
     }
 
+    @Test
+    fun `a description that leaves no room for its tasks' places is refused at once`() {
+        val long = spec("run-1").copy(types = List(800) { "some-type-$it" } + "big")
+        assertEquals(400, submit(long).status)
+        assertEquals(201, submit(spec("run-1").copy(types = List(20) { "some-type-$it" } + "big")).status)
+    }
+
     @Test
     fun `a job of 100,000 tasks is taken`() {
         assertEquals(201, submit(spec("run-1", tasks = 100_000)).status)
--- a/src/test/kotlin/glenspool/config/SettingsTest.kt
+++ b/src/test/kotlin/glenspool/config/SettingsTest.kt
@@ -38,6 +38,7 @@
             assertTrue(e.problems.any { it.startsWith("$path:") }, "$path in ${e.problems}")
         }
         assertEquals(4, e.problems.size)
+        assertTrue(assertThrows(SettingsError::class.java) { read(GOOD.replace("txn_ops = 24", "txn_ops = 2")) }.problems.single().startsWith("settings.state.txn_ops:"))
     }
 
     @Test
