--- a/src/main/kotlin/glenspool/api/UserApi.kt
+++ b/src/main/kotlin/glenspool/api/UserApi.kt
@@ -1,5 +1,6 @@
 package glenspool.api
 
+import com.google.common.cache.CacheBuilder
 import glenspool.config.Settings
 import glenspool.controller.wallClock
 import glenspool.core.model.JobKind
@@ -24,7 +25,6 @@
 import glenspool.wire.RecordWire
 import glenspool.wire.Stage
 import glenspool.wire.validJobId
-import com.google.common.cache.CacheBuilder
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
 import org.http4k.core.Request
--- a/src/main/kotlin/glenspool/cloud/CloudClient.kt
+++ b/src/main/kotlin/glenspool/cloud/CloudClient.kt
@@ -1,5 +1,6 @@
 package glenspool.cloud
 
+import com.google.common.util.concurrent.RateLimiter
 import glenspool.core.Rent
 import glenspool.core.model.ListedMachine
 import glenspool.core.model.MachineType
@@ -7,7 +8,6 @@
 import glenspool.http.HttpCaller
 import glenspool.wire.CloudWire
 import glenspool.wire.MalformedMessage
-import com.google.common.util.concurrent.RateLimiter
 import kotlin.time.Duration.Companion.seconds
 
 /** How a rental request ended. */
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -218,7 +218,23 @@
             when {
                 c.key.startsWith(Keys.JOB) -> {
                     val id = c.key.removePrefix(Keys.JOB)
-                    if (value == null) jobGone(id) else if (id in jobs) jobs.getValue(id).let { if (c.version > it.version) it.version = c.version } else jobStored(wholeRecord(value, replica.under(Keys.chunks(id))), c.version)
+                    if (value ==
+                        null
+                    ) {
+                        jobGone(id)
+                    } else if (id in
+                        jobs
+                    ) {
+                        jobs.getValue(id).let {
+                            if (c.version >
+                                it.version
+                            ) {
+                                it.version = c.version
+                            }
+                        }
+                    } else {
+                        jobStored(wholeRecord(value, replica.under(Keys.chunks(id))), c.version)
+                    }
                 }
                 c.key.startsWith(Keys.CANCEL) && value != null ->
                     jobCancelled(c.key.removePrefix(Keys.CANCEL), c.version, value.count("at").milliseconds)
--- a/src/main/kotlin/glenspool/controller/Leadership.kt
+++ b/src/main/kotlin/glenspool/controller/Leadership.kt
@@ -7,7 +7,6 @@
 import glenspool.state.StateResult
 import glenspool.wire.MalformedMessage
 import glenspool.wire.count
-import glenspool.wire.text
 import org.slf4j.LoggerFactory
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -22,7 +22,6 @@
 import java.security.SecureRandom
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** One controller: all adapters and duties, wired together. */
 class Node(private val settings: Settings, tuning: Tuning) : AutoCloseable {
--- a/src/main/kotlin/glenspool/controller/Transactions.kt
+++ b/src/main/kotlin/glenspool/controller/Transactions.kt
@@ -3,11 +3,11 @@
 import glenspool.core.FinishJob
 import glenspool.core.SaveJob
 import glenspool.core.Store
+import glenspool.core.model.JobRecord
 import glenspool.state.Keys
 import glenspool.state.Put
 import glenspool.wire.Fields
 import glenspool.wire.RecordWire
-import glenspool.core.model.JobRecord
 import glenspool.wire.StateWire
 import java.util.BitSet
 
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -13,7 +13,6 @@
 import glenspool.core.model.ForgetTask
 import glenspool.core.model.JobKind
 import glenspool.core.model.JobRecord
-import glenspool.core.model.JobSpec
 import glenspool.core.model.ListedMachine
 import glenspool.core.model.MachineStage
 import glenspool.core.model.MachineType
@@ -832,7 +831,8 @@
         }
     }
 
-    private fun allowed(job: Job, m: Machine) = glenspool.core.cluster.allowed(job.spec, m) && !avoids(job, m) &&
+    private fun allowed(job: Job, m: Machine) = glenspool.core.cluster.allowed(job.spec, m) &&
+        !avoids(job, m) &&
         glenspool.core.cluster.zoneAllows(job, m.zone, ::zoneOf)
 
     private fun makeRoomOn(m: Machine, job: Job, claimed: HashMap<Machine, Amount>, wanted: Int): Int {
@@ -943,6 +943,7 @@
         private const val ESTIMATE_MARGIN = 1.15
         private const val DEADLINE_MARGIN = 1.3
         private val HOPELESS = 3600.seconds
+
         /** How long a service waits for room on a machine with its image; the exit is reported in far less. */
         private val ROOM_PATIENCE = 600.milliseconds
 
--- a/src/main/kotlin/glenspool/core/capacity/Capacity.kt
+++ b/src/main/kotlin/glenspool/core/capacity/Capacity.kt
@@ -8,7 +8,6 @@
 import glenspool.core.model.Amount
 import glenspool.core.model.JobKind
 import glenspool.core.model.JobSpec
-import glenspool.core.model.ListedMachine
 import glenspool.core.model.MachineType
 import glenspool.core.model.Priority
 import kotlin.math.ceil
@@ -217,8 +216,11 @@
 
     private fun place(spec: JobSpec, virtual: List<Virtual>, zone: String?): Boolean {
         val v = virtual.firstOrNull { v ->
-            (spec.types == null || v.offer.type in spec.types) && (spec.zone == null || spec.zone == v.offer.zone) &&
-                (spec.spot || !v.offer.spot) && (zone == null || zone == v.offer.zone) && spec.need.fits(v.room)
+            (spec.types == null || v.offer.type in spec.types) &&
+                (spec.zone == null || spec.zone == v.offer.zone) &&
+                (spec.spot || !v.offer.spot) &&
+                (zone == null || zone == v.offer.zone) &&
+                spec.need.fits(v.room)
         } ?: return false
         v.room -= spec.need
         v.tasks++
--- a/src/main/kotlin/glenspool/core/cluster/Machine.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Machine.kt
@@ -9,7 +9,6 @@
 import glenspool.core.model.Report
 import glenspool.core.model.ReportedTask
 import glenspool.core.model.TaskKey
-import glenspool.core.model.TaskState
 import kotlin.time.Duration
 
 /** A start command whose outcome is unknown: it may still be executed while token and session match. */
@@ -40,6 +39,7 @@
     var deleting = false
     var deleteSent: Duration? = null
     var draining = false
+
     /** Gets no more short work, so that it becomes empty and can be returned. */
     var retiring = false
     var idleSince: Duration? = null
--- a/src/main/kotlin/glenspool/core/lifecycle/Job.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Job.kt
@@ -72,6 +72,7 @@
     val strays = HashMap<TaskKey, MutableSet<String>>()
     val failedOn = LinkedHashSet<String>()
     var notBefore: Duration? = null
+
     /** Room is being made for it on a machine with its image until about then; set once in its life. */
     var roomComing: Duration? = null
     var gangAttempt: Long? = null
--- a/src/main/kotlin/glenspool/core/model/Model.kt
+++ b/src/main/kotlin/glenspool/core/model/Model.kt
@@ -61,7 +61,8 @@
 
     /** At most what its stored description takes, with its done bits and without its tasks' places. */
     val recordBytes: Int
-        get() = RECORD_FIELDS + 4 * (id.length + jobClass.length + team.length + image.length + (zone?.length ?: 0) + (types?.sumOf { it.length + 4 } ?: 0)) / 3 + minOf(tasks, 2048) / 6
+        get() = RECORD_FIELDS + 4 * (id.length + jobClass.length + team.length + image.length + (zone?.length ?: 0) + (types?.sumOf { it.length + 4 } ?: 0)) / 3 +
+            minOf(tasks, 2048) / 6
 
     companion object {
         /** Field names, numbers and marks; texts come on top. */
--- a/src/main/kotlin/glenspool/core/placement/Round.kt
+++ b/src/main/kotlin/glenspool/core/placement/Round.kt
@@ -177,19 +177,39 @@
     }
 
     private fun fits(job: Job, m: Machine, room: Amount): Boolean =
-        job.need.fits(room) && !(m.retiring && job.spec.kind == JobKind.ARRAY) && allowed(job.spec, m) && !view.avoids(job, m) && job.waiting(1).isNotEmpty() &&
-            zoneAllows(job, m.zone, view::zoneOf) && view.teamRoom(job) > 0 && view.recordRoom(job) > 0
+        job.need.fits(room) &&
+            !(m.retiring && job.spec.kind == JobKind.ARRAY) &&
+            allowed(job.spec, m) &&
+            !view.avoids(job, m) &&
+            job.waiting(1).isNotEmpty() &&
+            zoneAllows(job, m.zone, view::zoneOf) &&
+            view.teamRoom(job) > 0 &&
+            view.recordRoom(job) > 0
 
     /** The fastest type, then a cached image, then a machine that fits the job's price and spread. */
     private fun preferred(job: Job, m: Machine): Boolean {
         val mine = score(job, m)
-        return free.none { (o, r) -> o !== m && !(o.retiring && job.spec.kind == JobKind.ARRAY) && o !in held && job.need.fits(r) && allowed(job.spec, o) && !view.avoids(job, o) && score(job, o) < mine }
+        return free.none { (o, r) ->
+            o !== m &&
+                !(o.retiring && job.spec.kind == JobKind.ARRAY) &&
+                o !in held &&
+                job.need.fits(r) &&
+                allowed(job.spec, o) &&
+                !view.avoids(job, o) &&
+                score(job, o) < mine
+        }
     }
 
     private fun score(job: Job, m: Machine): Int {
         val fastest = view.fastestType(job.spec.jobClass)
         var s = if (fastest == null || m.type == fastest) 0 else 1000
-        s += if (m.hasImage(job.spec.image)) 0 else if (m.willHaveImage(job.spec.image)) 50 else 100
+        s += if (m.hasImage(job.spec.image)) {
+            0
+        } else if (m.willHaveImage(job.spec.image)) {
+            50
+        } else {
+            100
+        }
         s += view.misfit(job, m) * 60
         if (job.spec.kind == JobKind.SERVICE && view.needsCache(job)) {
             // Spread out, such services leave room and their images on many machines for those to come.
--- a/src/main/kotlin/glenspool/peer/Peers.kt
+++ b/src/main/kotlin/glenspool/peer/Peers.kt
@@ -1,7 +1,6 @@
 package glenspool.peer
 
 import glenspool.config.Member
-import glenspool.http.CallResult
 import glenspool.http.hostPort
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
--- a/src/test/kotlin/glenspool/core/RoundModelTest.kt
+++ b/src/test/kotlin/glenspool/core/RoundModelTest.kt
@@ -91,8 +91,11 @@
         val s = job.spec
         val mates = others.filter { it.first === job }.map { it.third.zone }
         val used = others.filter { it.third === m }.map { it.first.need }.fold(Amount.ZERO) { x, y -> x + y }
-        return allowed(s, m) && m.id !in job.failedOn && (used + s.need).fits(view.types.getValue(m.type).room) &&
-            (!s.sameZone || mates.all { it == m.zone }) && (!s.spread || mates.count { it == m.zone } + 1 <= (s.tasks + 1) / 2) &&
+        return allowed(s, m) &&
+            m.id !in job.failedOn &&
+            (used + s.need).fits(view.types.getValue(m.type).room) &&
+            (!s.sameZone || mates.all { it == m.zone }) &&
+            (!s.spread || mates.count { it == m.zone } + 1 <= (s.tasks + 1) / 2) &&
             others.count { it.first.spec.team == s.team } < (view.limit[s.team] ?: 1000)
     }
 
--- a/src/test/kotlin/glenspool/core/WorldTest.kt
+++ b/src/test/kotlin/glenspool/core/WorldTest.kt
@@ -32,9 +32,23 @@
 
     private fun randomJob(r: Random, n: Int) = when (r.nextInt(4)) {
         0 -> job("s-$n", JobKind.SERVICE, 1 + r.nextInt(3), team = "t${r.nextInt(3)}", priority = Priority.CRITICAL, spread = r.nextBoolean(), image = "i${r.nextInt(3)}")
-        1 -> job("g-$n", JobKind.GANG, 1 + r.nextInt(4), Amount(4.0, 2.0, 16.0).let { if (r.nextBoolean()) it else Amount(2.0, 1.0, 4.0) }, "t0", Priority.URGENT, sameZone = r.nextBoolean(), image = "i${r.nextInt(3)}", imageGb = 1.0 + r.nextInt(9))
-        2 -> job("c-$n", JobKind.ARRAY, 1 + r.nextInt(5), Amount(2.0, 0.0, 20.0), "t${r.nextInt(3)}", Priority.IDLE, zone = listOf(null, "a", "b")[r.nextInt(3)], spot = true, checkpoint = 3.seconds)
-        else -> job("a-$n", JobKind.ARRAY, 1 + r.nextInt(6), team = "t${r.nextInt(3)}", types = if (r.nextBoolean()) null else listOf("big"), spot = r.nextBoolean(), image = "i${r.nextInt(3)}")
+        1 -> job(
+            "g-$n", JobKind.GANG, 1 + r.nextInt(4),
+            Amount(4.0, 2.0, 16.0).let {
+                if (r.nextBoolean()) it else Amount(2.0, 1.0, 4.0)
+            },
+            "t0", Priority.URGENT, sameZone = r.nextBoolean(), image = "i${r.nextInt(3)}",
+            imageGb =
+            1.0 + r.nextInt(9),
+        )
+        2 -> job(
+            "c-$n", JobKind.ARRAY, 1 + r.nextInt(5), Amount(2.0, 0.0, 20.0), "t${r.nextInt(3)}", Priority.IDLE,
+            zone = listOf(null, "a", "b")[r.nextInt(3)], spot = true, checkpoint = 3.seconds,
+        )
+        else -> job(
+            "a-$n", JobKind.ARRAY, 1 + r.nextInt(6), team = "t${r.nextInt(3)}",
+            types = if (r.nextBoolean()) null else listOf("big"), spot = r.nextBoolean(), image = "i${r.nextInt(3)}",
+        )
     }
 
     private fun play(seed: Long, weather: Weather): World {
--- a/src/test/kotlin/glenspool/standin/World.kt
+++ b/src/test/kotlin/glenspool/standin/World.kt
@@ -269,7 +269,13 @@
     private fun rent(a: Rent, s: Scheduler) {
         after(delay() * 10) {
             val names = requests[a.request] ?: run {
-                val n = if (workers.size >= MAX_MACHINES) 0 else if (chance(0.2)) random.nextInt(a.count + 1) else a.count
+                val n = if (workers.size >= MAX_MACHINES) {
+                    0
+                } else if (chance(0.2)) {
+                    random.nextInt(a.count + 1)
+                } else {
+                    a.count
+                }
                 val type = types.first { it.name == a.type }
                 List(n) {
                     // A few never come up.
@@ -346,7 +352,15 @@
     private fun check(c: StartTask, spec: JobSpec, w: Worker) {
         val on = workers.values.flatMap { x -> x.tasks.entries.filter { it.value.exit == null }.map { Triple(x, it.key.key, it.value) } }
         if (on.any { (_, k, _) -> k == c.key }) violations += "$now ran_twice ${c.key}"
-        if (spec.types != null && w.type.name !in spec.types || spec.zone != null && spec.zone != w.zone || w.spot && !spec.spot) violations += "$now wrong_place ${c.key} on ${w.id}"
+        if (spec.types != null &&
+            w.type.name !in spec.types ||
+            spec.zone != null &&
+            spec.zone != w.zone ||
+            w.spot &&
+            !spec.spot
+        ) {
+            violations += "$now wrong_place ${c.key} on ${w.id}"
+        }
         val mates = on.filter { (_, k, _) -> k.job == spec.id }
         if (spec.sameZone && mates.any { (x, _, _) -> x.zone != w.zone }) violations += "$now wrong_place same zone ${c.key}"
         if (spec.spread && mates.count { (x, _, _) -> x.zone == w.zone } + 1 > spec.zoneCap) violations += "$now wrong_place spread ${c.key}"
@@ -430,10 +444,16 @@
             val waiting = members.filter { it.third.state == TaskState.WAITING }
             val running = members.filter { it.third.state == TaskState.RUNNING }
             if (waiting.size == spec.tasks) {
-                waiting.forEach { it.third.state = TaskState.RUNNING; it.third.at = now + spec.estimate }
+                waiting.forEach {
+                    it.third.state = TaskState.RUNNING
+                    it.third.at = now + spec.estimate
+                }
             } else if (running.size == spec.tasks && running.all { (w, _, t) -> !w.hanging && now >= t.at }) {
                 // They complete together.
-                running.forEach { (_, k, t) -> trulyDone.getValue(k.job).set(k.task); exit(t, Exit.DONE) }
+                running.forEach { (_, k, t) ->
+                    trulyDone.getValue(k.job).set(k.task)
+                    exit(t, Exit.DONE)
+                }
             } else if (running.isNotEmpty() && running.size < spec.tasks) {
                 running.forEach { exit(it.third, Exit.PEERS) }
             }
@@ -511,7 +531,8 @@
             val m = leader?.machines?.get(p.machine)
             "${p.key.task}#${p.attempt}@${p.machine} ${p.step}/${p.state} sent=${p.startSent} stop=${p.stop} machine[trusted=${m?.trusted} heard=${m?.heard} deleting=${m?.deleting} loose=${m?.loose} busy=${m?.directBusy}]"
         }
-        return "now=$now writing=${j.writing} changes=${j.changes}/${j.saved} version=${j.version} strays=${j.strays} waiting=${j.waiting(9)} notBefore=${j.notBefore} failedOn=${j.failedOn} $where"
+        return "now=$now writing=${j.writing} changes=${j.changes}/${j.saved} version=${j.version} strays=${j.strays} " +
+            "waiting=${j.waiting(9)} notBefore=${j.notBefore} failedOn=${j.failedOn} $where"
     }
 
     /** Whether the job waits for its team's limit alone. */
--- a/src/test/kotlin/glenspool/wire/WireTest.kt
+++ b/src/test/kotlin/glenspool/wire/WireTest.kt
@@ -124,7 +124,10 @@
 
     @Test
     fun `a stored record comes back as it was`() {
-        val done = BitSet().apply { set(0); set(15) }
+        val done = BitSet().apply {
+            set(0)
+            set(15)
+        }
         val r = JobRecord(JobWire.decode(outside(job)), 1234.seconds, 9, done, listOf(Intent(1, 8, "i-1"), Intent(2, 9, "i-1"), Intent(3, 9, "i-2")))
         assertEquals(r, RecordWire.decode(Cbor.decodeMap(Cbor.encode(RecordWire.encode(r)))))
     }
