A new leader knows which machine has which images

Cause: after each take-over every start looked uncached, and services went to machines without their image.

--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -12,6 +12,7 @@
 import glenspool.core.RaiseToken
 import glenspool.core.Rent
 import glenspool.core.Resign
+import glenspool.core.SaveImages
 import glenspool.core.Scheduler
 import glenspool.core.SchedulerConfig
 import glenspool.core.Store
@@ -28,6 +29,7 @@
 import glenspool.state.StateResult
 import glenspool.wire.CloudWire
 import glenspool.wire.Fields
+import glenspool.wire.ImagesWire
 import glenspool.wire.MalformedMessage
 import glenspool.wire.StateWire
 import glenspool.wire.count
@@ -197,12 +199,20 @@
         session = s
         step {
             this@CoreLoop.types?.let { typesKnown(it) } ?: storedTypes()?.let { typesKnown(it) }
+            replica.get(Keys.IMAGES)?.let { imagesRemembered(rememberedImages(it)) }
             replica.under(Keys.JOB).forEach { applyChange(StateWire.Change(it.key, it.value, it.version)) }
             replica.under(Keys.CANCEL).forEach { applyChange(StateWire.Change(it.key, it.value, it.version)) }
         }
         log.info("leading token={} jobs={}", term.token, scheduler.jobs.size)
     }
 
+    private fun rememberedImages(i: StateWire.Item): Map<String, Map<String, Double>> = try {
+        ImagesWire.decode(i.value)
+    } catch (e: MalformedMessage) {
+        log.warn("stored images are not readable", e)
+        emptyMap()
+    }
+
     private fun storedTypes(): List<MachineType>? = replica.get(Keys.TYPES)?.let {
         try {
             CloudWire.decodeTypes(it.value)
@@ -267,6 +277,10 @@
                 log.info("token raised to={}", t)
                 post(Event.Raised(t))
             }
+            is SaveImages -> call({ log.debug("images not kept") }) {
+                val r = state.transact(mapOf(Keys.LEAD to s.term.mark), listOf(Put(Keys.IMAGES, ImagesWire.encode(a.images))))
+                if (r !is StateResult.Ok) log.debug("images not kept: {}", r)
+            }
             is Resign -> call({ log.warn("could not resign") }) { leadership.resign(a.why, settings.workers.lease) }
             is Note -> if (a.important) log.info(a.text) else log.debug(a.text)
             is Store -> if (!writes.offer(s.term to a)) post(Event.Stored(StoreOutcome.Unknown, s.term))
--- a/src/main/kotlin/glenspool/core/Actions.kt
+++ b/src/main/kotlin/glenspool/core/Actions.kt
@@ -22,6 +22,9 @@
 /** Give the leadership to another node: this one can't do the work. */
 data class Resign(val why: String) : Action
 
+/** Keep for a later leader which machine has which images, with their sizes. Only a hint: no rule rests on it. */
+data class SaveImages(val images: Map<String, Map<String, Double>>) : Action
+
 /** Something an operator may want to read in the log: stable keys, one line. */
 data class Note(val text: String, val important: Boolean) : Action
 
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -131,6 +131,32 @@
         dirtyRound = true
     }
 
+    /** What an earlier leader knew of the machines' caches; taken over as each machine is heard. */
+    fun imagesRemembered(images: Map<String, Map<String, Double>>) {
+        remembered = images
+        savedImages = images
+    }
+
+    private var remembered: Map<String, Map<String, Double>> = emptyMap()
+    private var savedImages: Map<String, Map<String, Double>> = emptyMap()
+    private var imagesSavedAt = startedAt
+
+    private fun saveImages() {
+        if (now - imagesSavedAt < IMAGES_PERIOD) return
+        var left = config.valueBytes * 3 / 4
+        val images = LinkedHashMap<String, Map<String, Double>>()
+        for (m in machines.values) {
+            val own = if (m.trusted && !m.deleting) m.cachedImages().toMap() else continue
+            left -= m.id.length + BYTES_PER_ENTRY + own.keys.sumOf { it.length + BYTES_PER_ENTRY }
+            if (own.isEmpty() || left < 0) continue
+            images[m.id] = own
+        }
+        if (images == savedImages) return
+        imagesSavedAt = now
+        savedImages = images
+        actions.add(SaveImages(images))
+    }
+
     fun jobCancelled(id: String, version: Long, at: Duration) {
         val job = jobs[id] ?: return
         if (job.cancelled) {
@@ -300,6 +326,7 @@
         for (j in jobs.values.toList()) tend(j)
         if (machines.values.any { m -> m.loose.any { now - it.since > LOOSE_PATIENCE } }) raiseToken()
         capacity.tick(now)
+        saveImages()
         if (deaf() && !resigned) {
             resigned = true
             actions.add(Resign("no worker is heard"))
@@ -331,6 +358,7 @@
         m.spot = r.spot
         m.addr = r.addr
         m.booting = false
+        if (!m.everHeard) remembered[m.id]?.forEach { (image, gb) -> m.sawImage(image, gb, types[m.type]?.cacheGb ?: 0.0) }
         if (r.session > m.session) {
             if (m.session > 0) note("lease-ended machine=${m.id} session=${r.session} tasks=${m.placements.size}", important = true)
             m.loose.removeIf { it.session < r.session }
@@ -949,6 +977,8 @@
 
         /** The same where the lower work saves first. */
         private val ROOM_PATIENCE_SAVING = 7.seconds
+        private val IMAGES_PERIOD = 4.seconds
+        private const val BYTES_PER_ENTRY = 12
         private const val DEAF_MACHINES = 3
         private val STALL = 3.seconds
         private val SOFT_DELAY = 1500.milliseconds
--- a/src/main/kotlin/glenspool/core/cluster/Machine.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Machine.kt
@@ -76,6 +76,8 @@
 
     fun newer(r: Report): Boolean = r.session > session || (r.session == session && r.seq > seq)
 
+    fun cachedImages(): Map<String, Double> = images
+
     fun hasImage(image: String): Boolean = image in images
 
     /** Whether the image is here or being fetched by some task. */
--- a/src/main/kotlin/glenspool/state/Keys.kt
+++ b/src/main/kotlin/glenspool/state/Keys.kt
@@ -11,6 +11,7 @@
     const val LEAD = "g/lead"
     const val TERM = "g/term"
     const val TYPES = "g/types"
+    const val IMAGES = "g/images"
     const val JOB = "g/j/"
     const val CANCEL = "g/c/"
     const val CHUNK = "g/d/"
--- a/src/test/kotlin/glenspool/core/GuardsTest.kt
+++ b/src/test/kotlin/glenspool/core/GuardsTest.kt
@@ -229,6 +229,21 @@
         assertEquals(1, silent.count { it is Resign })
     }
 
+    @Test
+    fun `a new leader knows the images that the last one saw`() {
+        busy(2)
+        val saved = wait(6.seconds).filterIsInstance<SaveImages>().last().images
+        assertEquals(mapOf("m1" to mapOf("img" to 2.0), "m2" to mapOf("img" to 2.0)), saved)
+        val next = Scheduler(config(), TOKEN + 1, now)
+        next.step(now, now) {
+            typesKnown(listOf(bigType))
+            imagesRemembered(saved)
+            reported(report("m1", token = TOKEN + 1))
+        }
+        assertTrue(next.machines.getValue("m1").hasImage("img"))
+        assertTrue(next.step(now + 10.seconds, now) { tick() }.none { it is SaveImages && it.images.isEmpty() })
+    }
+
     @Test
     fun `a leader that hears some workers stays`() {
         val running = busy(4)
--- a/src/test/kotlin/glenspool/standin/World.kt
+++ b/src/test/kotlin/glenspool/standin/World.kt
@@ -12,6 +12,7 @@
 import glenspool.core.RaiseToken
 import glenspool.core.Rent
 import glenspool.core.Resign
+import glenspool.core.SaveImages
 import glenspool.core.Scheduler
 import glenspool.core.SchedulerConfig
 import glenspool.core.Store
@@ -221,6 +222,7 @@
                 }
                 ifLeading(s) { tokenRaised(if (ok) t else null) }
             }
+            is SaveImages -> check(a.images.values.none { it.isEmpty() })
             is Resign -> {
                 if (leader === s) leader = null
                 after(1.seconds) { electWhenUp() }
--- a/src/test/kotlin/glenspool/wire/WireTest.kt
+++ b/src/test/kotlin/glenspool/wire/WireTest.kt
@@ -122,6 +122,12 @@
         assertNull(changes[1].value)
     }
 
+    @Test
+    fun `remembered images come back as they were`() {
+        val images = mapOf("i-1" to mapOf("img-1" to 2.5, "img-2" to 6.0), "i-2" to mapOf("img-1" to 2.5))
+        assertEquals(images, ImagesWire.decode(Cbor.decodeMap(Cbor.encode(ImagesWire.encode(images)))))
+    }
+
     @Test
     fun `a stored record comes back as it was`() {
         val done = BitSet().apply {
