--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -45,7 +45,7 @@
 
     fun start() {
         // Requests are taken as soon as the port is open; until the state is read they are told to come back.
-        api = HttpListener(settings.apiAddr, "api", API_THREADS) { r -> if (r.uri.path == "/checkin") workerApi(r) else userApi(r) }
+        api = HttpListener(settings.apiAddr, "api", minOf(MAX_API_THREADS, settings.maxSockets / 3)) { r -> if (r.uri.path == "/checkin") workerApi(r) else userApi(r) }
         internal = HttpListener(settings.internalAddr, "peer", PEER_THREADS, PeerServer({ status() }, userApi::local))
         duty("state-watch") { replica.follow() }
         duty("state-sync") { replica.serveSyncs() }
@@ -125,7 +125,9 @@
     companion object {
         private val log = LoggerFactory.getLogger(Node::class.java)
         private val FRESH: Duration = 6500.milliseconds
-        private const val API_THREADS = 64
+
+        /** A peer that stalls in the middle of a request holds one until the server's time limit: there are many. */
+        private const val MAX_API_THREADS = 256
         private const val PEER_THREADS = 24
     }
 }
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -467,7 +467,10 @@
         if (est <= Duration.ZERO || p.job.spec.kind == JobKind.GANG) return
         val ratio = (now - started) / est
         val table = typeRuns.getOrPut(p.job.spec.jobClass) { HashMap() }
-        table[m.type] = (table[m.type] ?: ratio) * 0.9 + ratio * 0.1
+        val usual = table[m.type] ?: ratio
+        // Before the sample itself counts: a machine is slow against the others of its type.
+        m.slowness = m.slowness * 0.6 + (ratio / usual.coerceAtLeast(1e-6)).coerceAtMost(MAX_SLOWNESS) * 0.4
+        table[m.type] = usual * 0.9 + ratio * 0.1
         m.errors = 0
     }
 
@@ -979,6 +982,7 @@
         private val ROOM_PATIENCE_SAVING = 7.seconds
         private val IMAGES_PERIOD = 4.seconds
         private const val BYTES_PER_ENTRY = 12
+        private const val MAX_SLOWNESS = 5.0
         private const val DEAF_MACHINES = 3
         private val STALL = 3.seconds
         private val SOFT_DELAY = 1500.milliseconds
--- a/src/main/kotlin/glenspool/http/Http.kt
+++ b/src/main/kotlin/glenspool/http/Http.kt
@@ -126,7 +126,7 @@
             System.setProperty("sun.net.httpserver.idleInterval", "120")
             System.setProperty("sun.net.httpserver.maxIdleConnections", (maxSockets / 2).toString())
             System.setProperty("jdk.httpserver.maxConnections", (maxSockets * 3 / 4).toString())
-            System.setProperty("sun.net.httpserver.maxReqTime", "10")
+            System.setProperty("sun.net.httpserver.maxReqTime", "5")
             System.setProperty("sun.net.httpserver.maxRspTime", "10")
         }
     }
--- a/src/test/kotlin/glenspool/core/GuardsTest.kt
+++ b/src/test/kotlin/glenspool/core/GuardsTest.kt
@@ -244,6 +244,33 @@
         assertTrue(next.step(now + 10.seconds, now) { tick() }.none { it is SaveImages && it.images.isEmpty() })
     }
 
+    @Test
+    fun `a machine that runs its tasks slowly is noticed`() {
+        started(2)
+        fun runOn(id: String, took: Duration) {
+            submit(job(id, need = Amount(14.0, 4.0, 50.0)))
+            submit(job("$id-other", need = Amount(14.0, 4.0, 50.0)))
+            wait(1.seconds)
+            for (d in confirm().filterIsInstance<Direct>()) {
+                val key = d.commands.filterIsInstance<StartTask>().single()
+                step { directEnded(d.machine, d, DirectOutcome.DONE, report(d.machine, listOf(task(key.key.job, 0, key.attempt, TaskState.RUNNING)))) }
+            }
+            val held = listOf(id, "$id-other").associate { j -> core.jobs.getValue(j).placements.getValue(0).let { it.machine to it } }
+            now += took
+            for (m in listOf("m2", "m1")) {
+                if (m == "m1") now += took * 3
+                val p = held.getValue(m)
+                say(report(m, listOf(task(p.key.job, 0, p.attempt, TaskState.EXITED, Exit.DONE))))
+                step { stored(StoreOutcome.Stored(++revision)) }
+            }
+            say(report("m2"))
+        }
+        runOn("a", 10.seconds)
+        runOn("b", 10.seconds)
+        assertTrue(core.machines.getValue("m1").slowness > 1.5, "${core.machines.getValue("m1").slowness}")
+        assertTrue(core.machines.getValue("m2").slowness < 1.2)
+    }
+
     @Test
     fun `a leader that hears some workers stays`() {
         val running = busy(4)
--- a/src/test/kotlin/glenspool/core/RoundModelTest.kt
+++ b/src/test/kotlin/glenspool/core/RoundModelTest.kt
@@ -130,6 +130,17 @@
         assertEquals(Resource.CPU, bottleneck(Amount(1.0, 0.0, 60.0), null, 2.0))
     }
 
+    @Test
+    fun `a slow machine is taken last`() {
+        val view = Plain(emptyMap())
+        val slow = Machine("slow", "big", "a", false, Duration.ZERO).also { it.slowness = 3.0 }
+        val sound = Machine("sound", "big", "a", false, Duration.ZERO)
+        view.all += listOf(slow, sound)
+        val jobs = List(2) { Job(JobRecord(job("a$it", need = Amount(10.0, 3.0, 40.0)), Duration.ZERO, 0, BitSet(), emptyList()), 1) }
+        Round(view, view.all, jobs).run { false }
+        assertEquals(listOf("sound", "slow"), jobs.map { it.placements.getValue(0).machine })
+    }
+
     @Test
     fun `a cached image wins over a larger or emptier machine`() {
         val view = Plain(emptyMap())
