--- a/src/test/kotlin/glenspool/api/UserApiTest.kt
+++ b/src/test/kotlin/glenspool/api/UserApiTest.kt
@@ -1,5 +1,6 @@
 package glenspool.api
 
+import glenspool.config.Member
 import glenspool.config.SettingsReader
 import glenspool.config.SettingsTest
 import glenspool.core.model.Amount
@@ -10,6 +11,8 @@
 import glenspool.http.HttpCaller
 import glenspool.http.HttpListener
 import glenspool.peer.PeerClient
+import glenspool.peer.PeerServer
+import glenspool.peer.PeerStatus
 import glenspool.standin.StateStandIn
 import glenspool.standin.bigType
 import glenspool.standin.job
@@ -45,9 +48,10 @@
         }
     }
     private var types: List<MachineType>? = listOf(bigType)
+    private val settings by lazy { SettingsReader().read(File(dir, "s.toml").also { it.writeText(SettingsTest.GOOD) }) }
+    private var members = emptyList<Member>()
     private val node by lazy {
-        val settings = SettingsReader().read(File(dir, "s.toml").also { it.writeText(SettingsTest.GOOD) })
-        HttpListener(InetSocketAddress("127.0.0.1", 0), "api", 8, UserApi(settings, client, replica, PeerClient(emptyList())) { types })
+        HttpListener(InetSocketAddress("127.0.0.1", 0), "api", 8, UserApi(settings, client, replica, PeerClient(members)) { types })
     }
     private val addr get() = "127.0.0.1:${node.port}"
 
@@ -143,6 +147,32 @@
         assertEquals(201, submit(spec("run-1").copy(types = List(20) { "some-type-$it" } + "big")).status)
     }
 
+    @Test
+    fun `a node that has lost the state service alone passes requests to a peer`() {
+        // The peer reaches the same state service, which this node alone does not.
+        val reachable = HttpListener(InetSocketAddress("127.0.0.1", 0), "state-2", 8, state::serve)
+        val peersClient = StateClient("127.0.0.1:${reachable.port}", http)
+        val peersReplica = Replica(peersClient, 1000.0) { _, _ -> }
+        val peersSyncs = thread(isDaemon = true) {
+            try {
+                peersReplica.serveSyncs()
+            } catch (e: InterruptedException) {
+                Thread.currentThread().interrupt()
+            }
+        }
+        val peersApi = UserApi(settings, peersClient, peersReplica, PeerClient(emptyList())) { types }
+        val peer = HttpListener(InetSocketAddress("127.0.0.1", 0), "peer", 4, PeerServer({ PeerStatus("n1", false, null, true) }, peersApi::local))
+        members = listOf(Member("n1", "here", InetSocketAddress("127.0.0.1", peer.port)))
+        outside.close()
+        assertEquals(201, submit(spec("run-1")).status)
+        assertEquals("pending", show("run-1").body["stage"])
+        assertEquals("aborted", withdraw("run-1").body["stage"])
+        assertEquals(404, show("run-2").status)
+        peersSyncs.interrupt()
+        peer.close()
+        reachable.close()
+    }
+
     @Test
     fun `a job of 100,000 tasks is taken`() {
         assertEquals(201, submit(spec("run-1", tasks = 100_000)).status)
