--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -17,7 +17,6 @@
 import glenspool.core.model.MachineStage
 import glenspool.core.model.MachineType
 import glenspool.core.model.Objective
-import glenspool.core.model.Priority
 import glenspool.core.model.Report
 import glenspool.core.model.ReportedTask
 import glenspool.core.model.StartTask
@@ -25,6 +24,7 @@
 import glenspool.core.model.TaskKey
 import glenspool.core.model.TaskState
 import glenspool.core.model.Team
+import glenspool.core.placement.RoomMaker
 import glenspool.core.placement.Round
 import glenspool.core.placement.RoundView
 import kotlin.time.Duration
@@ -68,7 +68,9 @@
     private val deleted = HashSet<String>()
     private val typeRuns = HashMap<String, HashMap<String, Double>>()
     private val capacity = Capacity(this)
-    private var now = startedAt
+    private val rooms = RoomMaker(this)
+    var now = startedAt
+        private set
     private var wall = Duration.ZERO
     private var storeBusy = false
     private var storePause = Duration.ZERO
@@ -773,67 +775,15 @@
         val ready = machines.values.filter { it.ready(now, freshness) && it.type in types }
         val open = jobs.values.filter { !it.cancelled && !it.complete && it.notBefore.let { b -> b == null || now >= b } && it.waiting(1).isNotEmpty() }
         if (open.isNotEmpty() && ready.isNotEmpty()) {
-            clearCached(open, ready)
-            Round(this, ready, open.filterNot { waitsForRoom(it, ready) }).run { now - it.seenAt > config.tuning.gangWaitBound }
-            makeRoom(ready)
+            rooms.clearCached(open, ready)
+            Round(this, ready, open.filterNot { rooms.waitsForRoom(it, ready) }).run { now - it.seenAt > config.tuning.gangWaitBound }
+            rooms.makeRoom(ready)
         }
         capacity.plan(now)
     }
 
-    /**
-     * Urgent work whose image is cached only where lower work fills the machine: that work makes room at once,
-     * and the job waits the moment that takes, since a fetch elsewhere would take far longer.
-     */
-    private fun clearCached(open: List<Job>, ready: List<Machine>) {
-        for (job in open) {
-            if (job.rank < Priority.URGENT || job.roomComing != null) continue
-            val patience = if (job.rank == Priority.CRITICAL) ROOM_PATIENCE else ROOM_PATIENCE_SAVING
-            if (fetchTime(job) < patience * 2) continue
-            val wanted = minOf(job.waitingCount(), teamRoom(job))
-            if (wanted <= 0 || job.spec.kind == JobKind.GANG && wanted < job.waitingCount()) continue
-            val usable = ready.filter { allowed(job, it) && it.hasImage(job.spec.image) }
-            if (roomFor(job, usable) >= wantedAtOnce(job)) continue
-            if (job.spec.kind == JobKind.GANG && (job.spec.sameZone && usable.distinctBy { it.zone }.size > 1 || usable.sumOf { possibleRoom(it, job) } < wanted)) continue
-            val claimed = HashMap<Machine, Amount>()
-            var left = wanted
-            for (m in usable.sortedBy { m -> m.placements.values.count { it.job === job } }) {
-                if (left <= 0) break
-                left -= makeRoomOn(m, job, claimed, if (job.spec.kind == JobKind.GANG) left else 1)
-            }
-            if (claimed.isNotEmpty()) job.roomComing = now + patience
-        }
-    }
-
-    private fun wantedAtOnce(job: Job) = if (job.spec.kind == JobKind.GANG) job.waitingCount() else 1
-
-    private fun fetchTime(job: Job): Duration = (job.spec.imageGb / (commonType?.fetchGbPerS ?: 1.0).coerceAtLeast(0.01)).seconds
-
-    /** How many tasks of the job the machines have room for. */
-    private fun roomFor(job: Job, on: List<Machine>): Int = on.sumOf { m -> types[m.type]?.let { times(job.need, m.free(it)) } ?: 0 }
-
-    /** The same if lower work made way. */
-    private fun possibleRoom(m: Machine, job: Job): Int {
-        var room = types[m.type]?.let { m.free(it) } ?: return 0
-        for (p in m.placements.values) if (yields(p, job)) room += p.job.need
-        return times(job.need, room)
-    }
-
-    private fun times(need: Amount, room: Amount): Int {
-        var n = 0
-        var r = room
-        while (need.fits(r) && n < 64) {
-            r -= need
-            n++
-        }
-        return n
-    }
-
-    private fun yields(p: Placement, to: Job) = p.stop == null && p.step == Step.SEEN && p.job.rank < to.rank && p.job.spec.kind != JobKind.GANG
-
-    private fun waitsForRoom(job: Job, ready: List<Machine>): Boolean {
-        val until = job.roomComing ?: return false
-        return now < until && roomFor(job, ready.filter { it.hasImage(job.spec.image) && allowed(job, it) }) < wantedAtOnce(job)
-    }
+    /** How long a fetch of the job's image usually takes. */
+    fun fetchTime(job: Job): Duration = (job.spec.imageGb / (commonType?.fetchGbPerS ?: 1.0).coerceAtLeast(0.01)).seconds
 
     /** Whether the aim for the job's class can be met only where its image is cached. */
     override fun needsCache(job: Job): Boolean {
@@ -844,61 +794,6 @@
     private val waitBounds: Map<String, Duration> = config.objectives.filter { it.kind == "wait" && it.jobClass != null }
         .associate { it.jobClass.orEmpty() to (it.within ?: Duration.INFINITE) }
 
-    /** Stops lower work where a waiting job of higher priority needs its room, least loss first. */
-    private fun makeRoom(ready: List<Machine>) {
-        val waiting = jobs.values
-            .filter { !it.cancelled && it.rank >= Priority.URGENT && it.waiting(1).isNotEmpty() && it.notBefore.let { b -> b == null || now >= b } }
-            .sortedWith(compareByDescending<Job> { it.rank }.thenBy { it.submitted })
-        // Room that earlier stops are already making is not asked for twice.
-        val claimed = HashMap<Machine, Amount>()
-        for (job in waiting) {
-            var n = minOf(job.waitingCount(), teamRoom(job))
-            if (job.spec.kind == JobKind.GANG && teamRoom(job) < job.waitingCount()) continue
-            for (m in ready.sortedBy { if (it.hasImage(job.spec.image)) 0 else 1 }) {
-                if (n <= 0) break
-                if (!allowed(job, m)) continue
-                n -= makeRoomOn(m, job, claimed, n)
-            }
-        }
-    }
-
-    private fun allowed(job: Job, m: Machine) = glenspool.core.cluster.allowed(job.spec, m) &&
-        !avoids(job, m) &&
-        glenspool.core.cluster.zoneAllows(job, m.zone, ::zoneOf)
-
-    private fun makeRoomOn(m: Machine, job: Job, claimed: HashMap<Machine, Amount>, wanted: Int): Int {
-        val type = types[m.type] ?: return 0
-        var room = m.free(type) - (claimed[m] ?: Amount.ZERO)
-        val stopping = m.placements.values.filter { it.stop != null && it.stop != StopReason.GANG_BROKEN }
-        for (p in stopping) room += p.job.need
-        var made = 0
-        val victims = m.placements.values
-            .filter { yields(it, job) }
-            .sortedWith(compareBy<Placement> { it.job.rank }.thenByDescending { order(it.job) }.thenBy { it.job.lossOf(it, now) })
-            .toMutableList()
-        while (made < wanted) {
-            if (!job.need.fits(room)) {
-                val chosen = ArrayList<Placement>()
-                var r = room
-                while (!job.need.fits(r) && victims.isNotEmpty()) {
-                    val v = victims.removeAt(0)
-                    chosen.add(v)
-                    r += v.job.need
-                }
-                if (!job.need.fits(r)) return made
-                for (v in chosen) {
-                    val grace = if (job.rank == Priority.CRITICAL) Duration.ZERO else v.job.spec.save + GRACE_SLACK
-                    stop(v, StopReason.PREEMPTED, grace)
-                }
-                room = r
-            }
-            room -= job.need
-            claimed[m] = (claimed[m] ?: Amount.ZERO) + job.need
-            made++
-        }
-        return made
-    }
-
     private fun recomputeCommonType() {
         val counts = machines.values.groupingBy { it.type }.eachCount()
         commonType = types.values.maxWithOrNull(compareBy<MachineType> { counts[it.name] ?: 0 }.thenBy { it.name })
@@ -975,11 +870,6 @@
         private const val DEADLINE_MARGIN = 1.3
         private val HOPELESS = 3600.seconds
 
-        /** How long a service waits for room on a machine with its image; the exit is reported in far less. */
-        private val ROOM_PATIENCE = 600.milliseconds
-
-        /** The same where the lower work saves first. */
-        private val ROOM_PATIENCE_SAVING = 7.seconds
         private val IMAGES_PERIOD = 4.seconds
         private const val BYTES_PER_ENTRY = 12
         private const val MAX_SLOWNESS = 5.0
--- a/src/main/kotlin/glenspool/core/capacity/Capacity.kt
+++ b/src/main/kotlin/glenspool/core/capacity/Capacity.kt
@@ -98,7 +98,7 @@
     private fun packArrays(jobs: List<Job>, virtual: MutableList<Virtual>, now: Duration) {
         var work = Duration.ZERO
         var places = core.jobs.values.sumOf { j -> if (j.spec.kind == JobKind.ARRAY) j.placements.size else 0 } +
-            virtual.sumOf { v -> jobs.firstOrNull()?.let { fitsInto(it.need, v.room) } ?: 0 }
+            virtual.sumOf { v -> jobs.firstOrNull()?.let { it.need.countIn(v.room) } ?: 0 }
         for (job in jobs) {
             if (now - job.seenAt < ARRAY_PATIENCE) continue
             val spec = job.spec
@@ -117,7 +117,7 @@
                     ?: (if (drain > ordinaryPatience) fresh(spec, virtual, null, now, null) else null)
                     ?: return@repeat
                 virtual.add(v)
-                places += fitsInto(spec.need, v.room)
+                places += spec.need.countIn(v.room)
                 place(spec, virtual, null)
                 work -= each
             }
@@ -131,16 +131,6 @@
         return (t.spotPrice / t.price.coerceAtLeast(1e-9)).coerceIn(0.0, 1.0)
     }
 
-    private fun fitsInto(need: Amount, room: Amount): Int {
-        var n = 0
-        var r = room
-        while (need.fits(r) && n < 64) {
-            r -= need
-            n++
-        }
-        return n
-    }
-
     /** How long the job may wait for its places and still meet the first aim that it can meet at all. */
     private fun slackOf(job: Job): Duration {
         val spec = job.spec
@@ -243,7 +233,7 @@
         }
         val counts = core.machines.values.groupingBy { it.zone }.eachCount()
         val best = offers.minWithOrNull(
-            compareBy<Pair<Offer, MachineType>> { (o, t) -> (if (o.spot) t.spotPrice else t.price) / maxOf(1, fitsInto(spec.need, t.room)) }
+            compareBy<Pair<Offer, MachineType>> { (o, t) -> (if (o.spot) t.spotPrice else t.price) / maxOf(1, spec.need.countIn(t.room)) }
                 .thenBy { (o, _) -> (counts[o.zone] ?: 0) + virtual.count { it.fresh && it.offer.zone == o.zone } },
         ) ?: return null
         return Virtual(best.first, best.second.room, true)
--- a/src/main/kotlin/glenspool/core/model/Model.kt
+++ b/src/main/kotlin/glenspool/core/model/Model.kt
@@ -23,6 +23,17 @@
     /** A little slack absorbs the rounding of sums of decimal fractions; a worker refuses a real overflow. */
     fun fits(o: Amount): Boolean = cpus <= o.cpus + EPS && gpus <= o.gpus + EPS && memoryGb <= o.memoryGb + EPS
 
+    /** How many times this fits into the room; as many as no machine holds count as one number. */
+    fun countIn(room: Amount): Int {
+        var n = 0
+        var r = room
+        while (fits(r) && n < MANY) {
+            r -= this
+            n++
+        }
+        return n
+    }
+
     fun of(r: Resource): Double = when (r) {
         Resource.GPU -> gpus
         Resource.MEMORY -> memoryGb
@@ -31,6 +42,7 @@
 
     companion object {
         const val EPS = 1e-6
+        private const val MANY = 64
         val ZERO = Amount(0.0, 0.0, 0.0)
     }
 }
--- /dev/null
+++ b/src/main/kotlin/glenspool/core/placement/RoomMaker.kt
@@ -0,0 +1,125 @@
+package glenspool.core.placement
+
+import glenspool.core.Scheduler
+import glenspool.core.cluster.Machine
+import glenspool.core.cluster.zoneAllows
+import glenspool.core.lifecycle.Job
+import glenspool.core.lifecycle.Placement
+import glenspool.core.lifecycle.Step
+import glenspool.core.lifecycle.StopReason
+import glenspool.core.model.Amount
+import glenspool.core.model.JobKind
+import glenspool.core.model.Priority
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import glenspool.core.cluster.allowed as mayUse
+
+/** Preemption: where lower work makes way for a waiting job of higher priority, and who waits for that. */
+class RoomMaker(private val core: Scheduler) {
+    /**
+     * Urgent work whose image is cached only where lower work fills the machine: that work makes room at once,
+     * and the job waits the moment that takes, since a fetch elsewhere would take far longer.
+     */
+    fun clearCached(open: List<Job>, ready: List<Machine>) {
+        for (job in open) {
+            if (job.rank < Priority.URGENT || job.roomComing != null) continue
+            val patience = if (job.rank == Priority.CRITICAL) ROOM_PATIENCE else ROOM_PATIENCE_SAVING
+            if (core.fetchTime(job) < patience * 2) continue
+            val wanted = minOf(job.waitingCount(), core.teamRoom(job))
+            if (wanted <= 0 || job.spec.kind == JobKind.GANG && wanted < job.waitingCount()) continue
+            val usable = ready.filter { allowed(job, it) && it.hasImage(job.spec.image) }
+            if (roomFor(job, usable) >= wantedAtOnce(job)) continue
+            if (job.spec.kind == JobKind.GANG && (job.spec.sameZone && usable.distinctBy { it.zone }.size > 1 || usable.sumOf { possibleRoom(it, job) } < wanted)) continue
+            val claimed = HashMap<Machine, Amount>()
+            var left = wanted
+            for (m in usable.sortedBy { m -> m.placements.values.count { it.job === job } }) {
+                if (left <= 0) break
+                left -= makeRoomOn(m, job, claimed, if (job.spec.kind == JobKind.GANG) left else 1)
+            }
+            if (claimed.isNotEmpty()) job.roomComing = core.now + patience
+        }
+    }
+
+    private fun wantedAtOnce(job: Job) = if (job.spec.kind == JobKind.GANG) job.waitingCount() else 1
+
+    /** How many tasks of the job the machines have room for. */
+    private fun roomFor(job: Job, on: List<Machine>): Int = on.sumOf { m -> core.types[m.type]?.let { job.need.countIn(m.free(it)) } ?: 0 }
+
+    /** The same if lower work made way. */
+    private fun possibleRoom(m: Machine, job: Job): Int {
+        var room = core.types[m.type]?.let { m.free(it) } ?: return 0
+        for (p in m.placements.values) if (yields(p, job)) room += p.job.need
+        return job.need.countIn(room)
+    }
+
+    private fun yields(p: Placement, to: Job) = p.stop == null && p.step == Step.SEEN && p.job.rank < to.rank && p.job.spec.kind != JobKind.GANG
+
+    fun waitsForRoom(job: Job, ready: List<Machine>): Boolean {
+        val until = job.roomComing ?: return false
+        return core.now < until && roomFor(job, ready.filter { it.hasImage(job.spec.image) && allowed(job, it) }) < wantedAtOnce(job)
+    }
+
+    /** Stops lower work where a waiting job of higher priority needs its room, least loss first. */
+    fun makeRoom(ready: List<Machine>) {
+        val waiting = core.jobs.values
+            .filter { !it.cancelled && it.rank >= Priority.URGENT && it.waiting(1).isNotEmpty() && it.notBefore.let { b -> b == null || core.now >= b } }
+            .sortedWith(compareByDescending<Job> { it.rank }.thenBy { it.submitted })
+        // Room that earlier stops are already making is not asked for twice.
+        val claimed = HashMap<Machine, Amount>()
+        for (job in waiting) {
+            var n = minOf(job.waitingCount(), core.teamRoom(job))
+            if (job.spec.kind == JobKind.GANG && core.teamRoom(job) < job.waitingCount()) continue
+            for (m in ready.sortedBy { if (it.hasImage(job.spec.image)) 0 else 1 }) {
+                if (n <= 0) break
+                if (!allowed(job, m)) continue
+                n -= makeRoomOn(m, job, claimed, n)
+            }
+        }
+    }
+
+    private fun allowed(job: Job, m: Machine) = mayUse(job.spec, m) &&
+        !core.avoids(job, m) &&
+        zoneAllows(job, m.zone, core::zoneOf)
+
+    private fun makeRoomOn(m: Machine, job: Job, claimed: HashMap<Machine, Amount>, wanted: Int): Int {
+        val type = core.types[m.type] ?: return 0
+        var room = m.free(type) - (claimed[m] ?: Amount.ZERO)
+        val stopping = m.placements.values.filter { it.stop != null && it.stop != StopReason.GANG_BROKEN }
+        for (p in stopping) room += p.job.need
+        var made = 0
+        val victims = m.placements.values
+            .filter { yields(it, job) }
+            .sortedWith(compareBy<Placement> { it.job.rank }.thenByDescending { core.order(it.job) }.thenBy { it.job.lossOf(it, core.now) })
+            .toMutableList()
+        while (made < wanted) {
+            if (!job.need.fits(room)) {
+                val chosen = ArrayList<Placement>()
+                var r = room
+                while (!job.need.fits(r) && victims.isNotEmpty()) {
+                    val v = victims.removeAt(0)
+                    chosen.add(v)
+                    r += v.job.need
+                }
+                if (!job.need.fits(r)) return made
+                for (v in chosen) {
+                    val grace = if (job.rank == Priority.CRITICAL) Duration.ZERO else v.job.spec.save + Scheduler.GRACE_SLACK
+                    core.stop(v, StopReason.PREEMPTED, grace)
+                }
+                room = r
+            }
+            room -= job.need
+            claimed[m] = (claimed[m] ?: Amount.ZERO) + job.need
+            made++
+        }
+        return made
+    }
+
+    private companion object {
+        /** How long a service waits for room on a machine with its image; the exit is reported in far less. */
+        val ROOM_PATIENCE = 600.milliseconds
+
+        /** The same where the lower work saves first. */
+        val ROOM_PATIENCE_SAVING = 7.seconds
+    }
+}
