--- a/src/test/kotlin/glenspool/api/UserApiTest.kt
+++ b/src/test/kotlin/glenspool/api/UserApiTest.kt
@@ -147,6 +147,17 @@
         assertEquals(201, submit(spec("run-1").copy(types = List(20) { "some-type-$it" } + "big")).status)
     }
 
+    @Test
+    fun `a short throttling is ridden out, a long one is answered with a time to come back`() {
+        state.throttled = 2
+        assertEquals(201, submit(spec("run-1")).status)
+        state.throttled = 1_000
+        assertEquals(429, submit(spec("run-2")).status)
+        assertEquals(null, state.entries[Keys.job("run-2")])
+        state.throttled = 0
+        assertEquals(404, show("run-2").status)
+    }
+
     @Test
     fun `a node that has lost the state service alone passes requests to a peer`() {
         // The peer reaches the same state service, which this node alone does not.
--- a/src/test/kotlin/glenspool/standin/StateStandIn.kt
+++ b/src/test/kotlin/glenspool/standin/StateStandIn.kt
@@ -28,6 +28,9 @@
     var down = false
     var opsLimit = 24
 
+    /** So many of the next transactions are over the rate. */
+    var throttled = 0
+
     @Synchronized
     fun newLease(): Long = (++lastLease).also { leases.add(it) }
 
@@ -69,6 +72,7 @@
         if (down) return reply(503, mapOf("error" to "trouble"))
         val path = r.uri.path
         return when {
+            path == "/multi" && throttled > 0 -> reply(429, emptyMap()).also { throttled-- }
             path == "/multi" -> multi(Cbor.decodeMap(r.body.stream.readAllBytes()))
             path == "/leases" -> reply(200, mapOf("tenure" to newLease()))
             path.endsWith("/touch") -> if (path.split('/')[2].toLong() in leases) reply(200, emptyMap()) else reply(404, emptyMap())
