--- a/src/main/kotlin/glenspool/cloud/CloudClient.kt
+++ b/src/main/kotlin/glenspool/cloud/CloudClient.kt
@@ -3,7 +3,6 @@
 import com.google.common.util.concurrent.RateLimiter
 import glenspool.core.Rent
 import glenspool.core.model.ListedMachine
-import glenspool.core.model.MachineType
 import glenspool.http.CallResult
 import glenspool.http.HttpCaller
 import glenspool.wire.CloudWire
@@ -25,8 +24,6 @@
     /** Leaves some of the rate to a node that may lead at the same time. */
     private val rate = RateLimiter.create(rps * 0.8)
 
-    fun types(): List<MachineType>? = read("/flavors") { CloudWire.decodeTypes(it) }
-
     fun typesRaw(): glenspool.wire.Fields? = read("/flavors") { it }
 
     fun machines(): List<ListedMachine>? {
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -198,7 +198,7 @@
         val s = Session(term, scheduler)
         session = s
         step {
-            this@CoreLoop.types?.let { typesKnown(it) } ?: storedTypes()?.let { typesKnown(it) }
+            knownTypes()?.let { typesKnown(it) }
             replica.get(Keys.IMAGES)?.let { imagesRemembered(rememberedImages(it)) }
             replica.under(Keys.JOB).forEach { applyChange(StateWire.Change(it.key, it.value, it.version)) }
             replica.under(Keys.CANCEL).forEach { applyChange(StateWire.Change(it.key, it.value, it.version)) }
@@ -213,9 +213,10 @@
         emptyMap()
     }
 
-    private fun storedTypes(): List<MachineType>? = replica.get(Keys.TYPES)?.let {
+    /** The machine types last read from the cloud or, before that, the stored ones. */
+    fun knownTypes(): List<MachineType>? = types ?: replica.get(Keys.TYPES)?.let {
         try {
-            CloudWire.decodeTypes(it.value)
+            CloudWire.decodeTypes(it.value).also { list -> types = list }
         } catch (e: MalformedMessage) {
             log.error("stored machine types are not readable", e)
             null
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -5,18 +5,14 @@
 import glenspool.cloud.CloudClient
 import glenspool.config.Settings
 import glenspool.core.Tuning
-import glenspool.core.model.MachineType
 import glenspool.http.HttpCaller
 import glenspool.http.HttpListener
 import glenspool.http.hostPort
 import glenspool.peer.PeerClient
 import glenspool.peer.PeerServer
 import glenspool.peer.PeerStatus
-import glenspool.state.Keys
 import glenspool.state.Replica
 import glenspool.state.StateClient
-import glenspool.wire.CloudWire
-import glenspool.wire.MalformedMessage
 import glenspool.worker.WorkerClient
 import org.slf4j.LoggerFactory
 import java.security.SecureRandom
@@ -38,7 +34,7 @@
     @Volatile
     private var peerStatuses: List<PeerStatus> = emptyList()
     private val duties = ArrayList<Thread>()
-    private val userApi = UserApi(settings, state, replica, peers) { machineTypes() }
+    private val userApi = UserApi(settings, state, replica, peers) { loop.knownTypes() }
     private val workerApi = WorkerApi(settings, this, loop)
     private var api: HttpListener? = null
     private var internal: HttpListener? = null
@@ -111,17 +107,6 @@
         return peerStatuses.firstOrNull { it.leading }?.node
     }
 
-    private fun machineTypes(): List<MachineType>? {
-        loop.types?.let { return it }
-        val stored = replica.get(Keys.TYPES) ?: return null
-        return try {
-            CloudWire.decodeTypes(stored.value).also { loop.types = it }
-        } catch (e: MalformedMessage) {
-            log.error("stored machine types are not readable", e)
-            null
-        }
-    }
-
     companion object {
         private val log = LoggerFactory.getLogger(Node::class.java)
         private val FRESH: Duration = 6500.milliseconds
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -213,9 +213,7 @@
         val m = observe(report) ?: return
         // A worker that reports to another node learns of this leader's token here.
         if (m.token < token && !m.directBusy && !m.deleting) {
-            lastDirect[m.id] = now
-            m.directBusy = true
-            actions.add(Direct(m.id, m.addr, token, m.session, emptyList()))
+            send(m, emptyList())
         }
     }
 
@@ -371,7 +369,6 @@
         m.token = maxOf(m.token, r.token)
         m.heard = now
         m.notice = r.notice
-        if (r.notice != null && m.noticeAt == null) m.noticeAt = now
         m.reported = r.tasks
         // Until the worker has seen this leader's token, commands of an earlier leader may still be carried out:
         // such a report shows what is there, but not what will not be.
@@ -404,7 +401,7 @@
         if (m.trusted) {
             for (p in m.placements.values.toList()) {
                 if (p.key in present || p.step == Step.INTENDED || p.startSent == null) continue
-                if (m.loose.any { it.key == p.key && it.attempt == p.attempt }) continue
+                if (m.mayStillStart(p.key, p.attempt)) continue
                 gone(p, m, null)
             }
         }
@@ -527,7 +524,7 @@
             val p = m.placements[t.key]?.takeIf { it.attempt == t.attempt }
             if (t.state == TaskState.EXITED) {
                 // A start still on its way would start the task again after this.
-                if (m.loose.any { it.key == t.key && it.attempt == t.attempt }) continue
+                if (m.mayStillStart(t.key, t.attempt)) continue
                 if (t.exit == Exit.DONE && job != null && !job.finished && job.spec.kind != JobKind.SERVICE && !job.storedDone[t.key.task]) continue
                 result.add(ForgetTask(t.key, t.attempt))
             } else if (p == null) {
@@ -635,7 +632,7 @@
         if (job.spec.kind == JobKind.GANG && !job.cancelled && job.placements.isNotEmpty()) tendGang(job)
         for (p in job.placements.values.toList()) {
             val m = machines[p.machine] ?: continue
-            if (p.stop != null && p.step == Step.ORDERED && p.startSent == null && m.loose.none { it.key == p.key && it.attempt == p.attempt }) {
+            if (p.stop != null && p.step == Step.ORDERED && p.startSent == null && !m.mayStillStart(p.key, p.attempt)) {
                 // Its start was never sent, or surely not carried out: no report would ever show it ended.
                 drop(p)
                 job.soft(now)
@@ -715,12 +712,17 @@
                     m.placements[c.key]?.startSent = now
                 }
             }
-            lastDirect[m.id] = now
-            m.directBusy = true
-            actions.add(Direct(m.id, m.addr, token, m.session, commands))
+            send(m, commands)
         }
     }
 
+    /** One request to a machine at a time; its time tells its starts from earlier ones. */
+    private fun send(m: Machine, commands: List<Command>) {
+        lastDirect[m.id] = now
+        m.directBusy = true
+        actions.add(Direct(m.id, m.addr, token, m.session, commands))
+    }
+
     private fun flushStore() {
         if (storeBusy || now < storePause) return
         val writes = ArrayList<JobWrite>()
--- a/src/main/kotlin/glenspool/core/capacity/Capacity.kt
+++ b/src/main/kotlin/glenspool/core/capacity/Capacity.kt
@@ -30,7 +30,6 @@
     private val arrivals = HashMap<String, ArrivalRate>()
 
     private class ArrivalRate(val spec: JobSpec) {
-        var tasks = 0
         var since: Duration? = null
         val recent = ArrayDeque<Pair<Duration, Int>>()
     }
@@ -62,9 +61,7 @@
         }
     }
 
-    private class Virtual(val offer: Offer, var room: Amount, val fresh: Boolean) {
-        var tasks = 0
-    }
+    private class Virtual(val offer: Offer, var room: Amount, val fresh: Boolean)
 
     fun plan(now: Duration) {
         if (now - lastPlan < PLAN_PERIOD) return
@@ -213,7 +210,6 @@
                 spec.need.fits(v.room)
         } ?: return false
         v.room -= spec.need
-        v.tasks++
         return true
     }
 
@@ -289,7 +285,6 @@
             if (!m.trusted || m.deleting) continue
             if (m.busyTasks() > 0) {
                 m.idleSince = null
-                m.usedAt = now
                 continue
             }
             val since = m.idleSince ?: now.also { m.idleSince = now }
--- a/src/main/kotlin/glenspool/core/cluster/Machine.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Machine.kt
@@ -26,7 +26,6 @@
     /** When it was last heard of, by report or by an answer to a direct request. Null: never. */
     var heard: Duration? = null
     var notice: Duration? = null
-    var noticeAt: Duration? = null
 
     /** True once a report under the current leader's token has shown what is on the machine. */
     var trusted = false
@@ -38,12 +37,10 @@
     /** A deletion was sent or is wanted; the machine is never used again. */
     var deleting = false
     var deleteSent: Duration? = null
-    var draining = false
 
     /** Gets no more short work, so that it becomes empty and can be returned. */
     var retiring = false
     var idleSince: Duration? = null
-    var usedAt: Duration? = null
     var age: Duration = Duration.ZERO
 
     val placements = LinkedHashMap<TaskKey, Placement>()
@@ -63,6 +60,9 @@
     /** Relative speed as seen from tasks that completed; 1 is usual. */
     var slowness = 1.0
 
+    /** Whether a start of this attempt may still arrive here. */
+    fun mayStillStart(key: TaskKey, attempt: Long): Boolean = loose.any { it.key == key && it.attempt == attempt }
+
     val everHeard: Boolean get() = heard != null
 
     fun used(): Amount {
@@ -99,7 +99,7 @@
     fun ready(now: Duration, freshness: Duration): Boolean {
         val h = heard ?: return false
         val bad = badUntil
-        return trusted && !deleting && !draining && !failed && notice == null && now - h <= freshness && (bad == null || now >= bad)
+        return trusted && !deleting && !failed && notice == null && now - h <= freshness && (bad == null || now >= bad)
     }
 
     fun busyTasks(): Int = placements.size + strays.size
--- a/src/main/kotlin/glenspool/core/lifecycle/Job.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Job.kt
@@ -77,14 +77,12 @@
     var roomComing: Duration? = null
     var gangAttempt: Long? = null
     var gangStarted = false
-    val waitingSince = HashMap<Int, Duration>()
 
     /** When the job became known here, in steady time. */
     var seenAt: Duration = Duration.ZERO
 
     val cancelled: Boolean get() = cancelVersion != null
     val complete: Boolean get() = spec.kind != JobKind.SERVICE && done.cardinality() >= spec.tasks
-    val hasUnsaved: Boolean get() = changes > saved || softSince != null
 
     fun changed(): Long = ++changes
 
--- a/src/test/kotlin/glenspool/core/GuardsTest.kt
+++ b/src/test/kotlin/glenspool/core/GuardsTest.kt
@@ -70,6 +70,14 @@
 
     private fun confirm(): List<Action> = step { stored(StoreOutcome.Stored(++revision)) }
 
+    /** One machine, one job of one task, and the request that starts it there. */
+    private fun commanded(): Direct {
+        started()
+        submit(job("a"))
+        wait(1.seconds)
+        return confirm().filterIsInstance<Direct>().single()
+    }
+
     private fun List<Action>.starts() = filterIsInstance<Direct>().flatMap { it.commands }.filterIsInstance<StartTask>()
 
     @Test
@@ -107,10 +115,7 @@
 
     @Test
     fun `an unanswered start is believed void only under a higher token`() {
-        started()
-        submit(job("a"))
-        wait(1.seconds)
-        val direct = confirm().filterIsInstance<Direct>().single()
+        val direct = commanded()
         now += 3.seconds
         step { directEnded("m1", direct, DirectOutcome.UNKNOWN, null) }
         say(report("m1"))
@@ -127,10 +132,7 @@
 
     @Test
     fun `an ended task is not forgotten while a start of it may be on its way`() {
-        started()
-        submit(job("a"))
-        wait(1.seconds)
-        val direct = confirm().filterIsInstance<Direct>().single()
+        val direct = commanded()
         now += 3.seconds
         step { directEnded("m1", direct, DirectOutcome.UNKNOWN, null) }
         val (commands, _) = say(report("m1", listOf(task("a", 0, 1, TaskState.EXITED, Exit.ERROR))))
@@ -282,10 +284,7 @@
 
     @Test
     fun `a start that surely did not happen does not keep a cancelled job`() {
-        started()
-        submit(job("a"))
-        wait(1.seconds)
-        val direct = confirm().filterIsInstance<Direct>().single()
+        val direct = commanded()
         step { directEnded("m1", direct, DirectOutcome.NOT_SENT, null) }
         step { jobCancelled("a", ++revision, now) }
         assertTrue(wait(3.seconds).filterIsInstance<Store>().flatMap { it.writes }.any { it is FinishJob })
@@ -293,10 +292,7 @@
 
     @Test
     fun `a job is not placed where a start of it may still arrive`() {
-        started()
-        submit(job("a"))
-        wait(1.seconds)
-        val direct = confirm().filterIsInstance<Direct>().single()
+        val direct = commanded()
         step { directEnded("m1", direct, DirectOutcome.UNKNOWN, null) }
         say(report("m1", listOf(task("a", 0, 1, TaskState.EXITED, Exit.ERROR))))
         wait(4.seconds)
