--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -36,6 +36,7 @@
 import glenspool.worker.WorkerClient
 import org.slf4j.LoggerFactory
 import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.BlockingQueue
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.RejectedExecutionException
@@ -62,7 +63,8 @@
 
     data class DirectEnded(val sent: Direct, val outcome: DirectOutcome, val report: Report?, val term: Term) : Event
 
-    data class Probed(val machine: String, val report: Report?) : Event
+    /** [asked]: whether the question was sent at all. */
+    data class Probed(val machine: String, val report: Report?, val asked: Boolean) : Event
 
     data class Listed(val list: List<ListedMachine>) : Event
 
@@ -101,8 +103,20 @@
     @Volatile
     var types: List<MachineType>? = null
 
-    private val pool = ThreadPoolExecutor(2, 40, 10, TimeUnit.SECONDS, SynchronousQueue()) { r -> Thread(null, r, "call", 192L * 1024).also { it.isDaemon = true } }
-    private val cloudPool = ThreadPoolExecutor(1, 3, 10, TimeUnit.SECONDS, LinkedBlockingQueue(200)) { r -> Thread(null, r, "cloud-call", 192L * 1024).also { it.isDaemon = true } }
+    /** A machine that does not answer holds a thread for seconds, and tens of them may be lost at once. */
+    private val pool = callers("call", 2, MAX_CALLS, SynchronousQueue())
+
+    /** Questions to silent machines are slow by nature: they must not keep commands from machines that answer. */
+    private val probePool = callers("probe", PROBES, PROBES, LinkedBlockingQueue(MAX_CALLS))
+    private val cloudPool = callers("cloud-call", 3, 3, LinkedBlockingQueue(200))
+
+    private fun callers(name: String, core: Int, most: Int, waiting: BlockingQueue<Runnable>): ThreadPoolExecutor {
+        val pool = ThreadPoolExecutor(core, most, 10, TimeUnit.SECONDS, waiting) { r ->
+            Thread(null, r, name, 192L * 1024).also { it.isDaemon = true }
+        }
+        pool.allowCoreThreadTimeOut(true)
+        return pool
+    }
 
     fun post(e: Event) {
         // A full queue means that the core is far behind. Waiting here would block the state watch, and losing an
@@ -148,7 +162,7 @@
             is Event.Reported -> answer(e)
             // An earlier term's call says nothing of this term's.
             is Event.DirectEnded -> if (session?.term == e.term) step { directEnded(e.sent.machine, e.sent, e.outcome, e.report) }
-            is Event.Probed -> step { probed(e.machine, e.report) }
+            is Event.Probed -> step { probed(e.machine, e.report, e.asked) }
             is Event.Listed -> step { listed(e.list) }
             is Event.Types -> step { typesKnown(e.list) }
             is Event.RentEnded -> step {
@@ -192,14 +206,15 @@
         val config = SchedulerConfig(
             settings.teams, settings.objectives, settings.zones,
             settings.workers.report, settings.workers.lease, settings.workers.gangWait, settings.workers.gangPeer, settings.workers.cancel,
-            settings.cloudLimits.listLag, settings.stateLimits.txnOps, settings.stateLimits.valueBytes, tuning,
+            settings.cloudLimits.listLag, settings.stateLimits.txnOps, settings.stateLimits.writeRps,
+            settings.stateLimits.valueBytes, tuning.copy(notes = log.isDebugEnabled),
         )
         val scheduler = Scheduler(config, term.token, clock.elapsedNow())
         val s = Session(term, scheduler)
         session = s
         step {
             knownTypes()?.let { typesKnown(it) }
-            replica.get(Keys.IMAGES)?.let { imagesRemembered(rememberedImages(it)) }
+            imagesRemembered(replica.under(Keys.IMAGES).map(::rememberedImages).fold(emptyMap()) { x, y -> x + y })
             replica.under(Keys.JOB).forEach { applyChange(StateWire.Change(it.key, it.value, it.version)) }
             replica.under(Keys.CANCEL).forEach { applyChange(StateWire.Change(it.key, it.value, it.version)) }
         }
@@ -229,20 +244,12 @@
             when {
                 c.key.startsWith(Keys.JOB) -> {
                     val id = c.key.removePrefix(Keys.JOB)
-                    if (value ==
-                        null
-                    ) {
+                    val known = jobs[id]
+                    if (value == null) {
                         jobGone(id)
-                    } else if (id in
-                        jobs
-                    ) {
-                        jobs.getValue(id).let {
-                            if (c.version >
-                                it.version
-                            ) {
-                                it.version = c.version
-                            }
-                        }
+                    } else if (known != null) {
+                        // Our own record comes back: only its version can be news.
+                        if (c.version > known.version) known.version = c.version
                     } else {
                         jobStored(wholeRecord(value, replica.under(Keys.chunks(id))), c.version)
                     }
@@ -257,12 +264,12 @@
 
     private fun perform(a: Action, s: Session) {
         when (a) {
-            is Direct -> call({ post(Event.DirectEnded(a, DirectOutcome.NOT_SENT, null, s.term)) }) {
-                val (outcome, report) = if (leadership.current() == s.term) workers.command(a) else DirectOutcome.NOT_SENT to null
+            is Direct -> call({ post(Event.DirectEnded(a, DirectOutcome.NOT_TRIED, null, s.term)) }) {
+                val (outcome, report) = if (leadership.current() == s.term) workers.command(a) else DirectOutcome.NOT_TRIED to null
                 if (log.isDebugEnabled) log.debug("direct machine={} commands={} outcome={}", a.machine, a.commands, outcome)
                 post(Event.DirectEnded(a, outcome, report, s.term))
             }
-            is Probe -> call({ post(Event.Probed(a.machine, null)) }) { post(Event.Probed(a.machine, workers.show(a.addr))) }
+            is Probe -> run(probePool, { post(Event.Probed(a.machine, null, false)) }) { post(Event.Probed(a.machine, workers.show(a.addr), true)) }
             is Rent -> cloudCall({ post(Event.RentEnded(a, RentOutcome.Unknown)) }) {
                 val o = if (leadership.current() == s.term) cloud.rent(a) else RentOutcome.Unknown
                 log.info("rent request={} type={} zone={} spot={} count={} outcome={}", a.request, a.type, a.zone, a.spot, a.count, o)
@@ -279,7 +286,7 @@
                 post(Event.Raised(t))
             }
             is SaveImages -> call({ log.debug("images not kept") }) {
-                val r = state.transact(mapOf(Keys.LEAD to s.term.mark), listOf(Put(Keys.IMAGES, ImagesWire.encode(a.images))))
+                val r = state.transact(mapOf(Keys.LEAD to s.term.mark), listOf(Put(Keys.images(a.part), ImagesWire.encode(a.images))))
                 if (r !is StateResult.Ok) log.debug("images not kept: {}", r)
             }
             is Resign -> call({ log.warn("could not resign") }) { leadership.resign(a.why, settings.workers.lease) }
@@ -375,12 +382,15 @@
 
     override fun close() {
         pool.shutdownNow()
+        probePool.shutdownNow()
         cloudPool.shutdownNow()
     }
 
     companion object {
         private val log = LoggerFactory.getLogger(CoreLoop::class.java)
         private const val QUEUE = 20_000
+        private const val MAX_CALLS = 120
+        private const val PROBES = 16
         private val TICK: Duration = 250.milliseconds
     }
 }
--- a/src/main/kotlin/glenspool/core/Actions.kt
+++ b/src/main/kotlin/glenspool/core/Actions.kt
@@ -23,7 +23,7 @@
 data class Resign(val why: String) : Action
 
 /** Keep for a later leader which machine has which images, with their sizes. Only a hint: no rule rests on it. */
-data class SaveImages(val images: Map<String, Map<String, Double>>) : Action
+data class SaveImages(val part: Int, val images: Map<String, Map<String, Double>>) : Action
 
 /** Something an operator may want to read in the log: stable keys, one line. */
 data class Note(val text: String, val important: Boolean) : Action
@@ -74,4 +74,7 @@
 
     /** No answer: it may be carried out at any later time. */
     UNKNOWN,
+
+    /** It was not even tried, for want of threads or of the leadership: that says nothing of the machine. */
+    NOT_TRIED,
 }
--- a/src/main/kotlin/glenspool/core/Tuning.kt
+++ b/src/main/kotlin/glenspool/core/Tuning.kt
@@ -13,6 +13,8 @@
     val roundPeriod: Duration = 1.seconds,
     /** After this long a gang has freed machines held for it. */
     val gangWaitBound: Duration = 10.seconds,
+    /** After this long a job that has not begun goes before all others of its priority; twice as long for one that has. */
+    val waitBound: Duration = 100.seconds,
     /** An ordinary machine that has been empty for this long is returned. */
     val idleReturn: Duration = 20.seconds,
     /** Share of a lease after which a silent machine is replaced. */
@@ -23,4 +25,6 @@
     val bootPatience: Double = 2.5,
     /** How long a refused kind of machine is not asked for again. */
     val refusalPause: Duration = 15.seconds,
+    /** Whether each placement and stop is told for the log; follows the log's level and is not the operators' to set. */
+    val notes: Boolean = true,
 )
--- a/src/main/kotlin/glenspool/core/capacity/Capacity.kt
+++ b/src/main/kotlin/glenspool/core/capacity/Capacity.kt
@@ -63,39 +63,96 @@
 
     private class Virtual(val offer: Offer, var room: Amount, val fresh: Boolean)
 
+    /** Machines that are on their way or wanted, on paper, for one plan. */
+    private class Paper(val machinesIn: Map<String, Int>) {
+        val virtual = ArrayList<Virtual>()
+        private val freshIn = HashMap<String, Int>()
+
+        fun add(v: Virtual) {
+            virtual.add(v)
+            if (v.fresh) freshIn.merge(v.offer.zone, 1, Int::plus)
+        }
+
+        fun crowd(zone: String): Int = (machinesIn[zone] ?: 0) + (freshIn[zone] ?: 0)
+    }
+
+    /** Where one job's tasks go on paper. Rooms only shrink, so what did not fit one task fits none after it. */
+    private class Cursor(val spec: JobSpec, val zone: String? = null) {
+        private var at = 0
+
+        fun place(paper: Paper): Boolean {
+            while (at < paper.virtual.size) {
+                val v = paper.virtual[at]
+                if (suits(v) && spec.need.fits(v.room)) {
+                    v.room -= spec.need
+                    return true
+                }
+                at++
+            }
+            return false
+        }
+
+        private fun suits(v: Virtual) = (spec.types == null || v.offer.type in spec.types) &&
+            (spec.zone == null || spec.zone == v.offer.zone) &&
+            (spec.spot || !v.offer.spot) &&
+            (zone == null || zone == v.offer.zone)
+    }
+
     fun plan(now: Duration) {
         if (now - lastPlan < PLAN_PERIOD) return
         lastPlan = now
-        val virtual = ArrayList<Virtual>()
+        val paper = Paper(core.machines.values.groupingBy { it.zone }.eachCount())
         for (m in core.machines.values) {
             val t = core.types[m.type] ?: continue
-            if (!m.deleting && !m.failed && !m.trusted) virtual.add(Virtual(Offer(m.type, m.zone, m.spot), m.free(t), false))
+            // A machine that was heard and then no more, or that nothing reaches, is not on its way.
+            val lost = m.mutedSince != null || m.heard.let { it != null && now - it > core.freshness }
+            if (!m.deleting && !m.failed && !m.trusted && !lost) paper.add(Virtual(Offer(m.type, m.zone, m.spot), m.free(t), false))
         }
         for (r in open.values) {
             val t = core.types[r.type] ?: continue
-            repeat(r.count) { virtual.add(Virtual(Offer(r.type, r.zone, r.spot), t.room, false)) }
+            repeat(r.count) { paper.add(Virtual(Offer(r.type, r.zone, r.spot), t.room, false)) }
         }
         val waiting = core.jobs.values
-            .filter { !it.cancelled && !it.complete && it.waitingCount() > 0 && it.failedOn.size < 3 }
+            .filter { it.waitingCount() > 0 && it.failedOn.size < 3 }
             .sortedWith(compareByDescending<Job> { it.rank }.thenBy { it.submitted })
-        if (waiting.isNotEmpty()) keepAgain()
+        val spare = Spare(now)
         val (arrays, whole) = waiting.partition { it.spec.kind == JobKind.ARRAY }
-        for (job in whole) pack(job, virtual, now)
-        packHeadroom(virtual, now)
-        packArrays(arrays, virtual, now)
-        order(virtual)
-        if (waiting.isEmpty()) retireSurplus(now) else surplusSince = null
-        giveBack(now)
+        for (job in whole) pack(job, paper, now)
+        packHeadroom(paper, spare, now)
+        packArrays(arrays, paper, now)
+        order(paper)
+        retireSurplus(waiting, spare, now)
+        giveBack(spare, now)
+    }
+
+    /** Spare places for critical services, counted once for a plan and then kept up as machines go. */
+    private inner class Spare(now: Duration) {
+        private val needed = arrivals.values.associateWith { headroomFor(it, now) }
+        private val slots = HashMap<ArrivalRate, Int>()
+
+        init {
+            for (a in arrivals.values) slots[a] = core.machines.values.sumOf { slotsOn(a.spec, it) }
+        }
+
+        fun missing(a: ArrivalRate): Int = needed.getValue(a) - slots.getValue(a)
+
+        /** Takes the machine's places out of the count if enough remain. */
+        fun release(m: Machine): Boolean {
+            val lost = arrivals.values.associateWith { slotsOn(it.spec, m) }
+            if (lost.any { (a, n) -> n > 0 && slots.getValue(a) - n < needed.getValue(a) }) return false
+            for ((a, n) in lost) slots.merge(a, -n, Int::plus)
+            return true
+        }
     }
 
     /**
      * Arrays run through their places one after another, so they need new machines only when the backlog would
      * take too long to drain: sooner for cheap spot machines than for ordinary ones.
      */
-    private fun packArrays(jobs: List<Job>, virtual: MutableList<Virtual>, now: Duration) {
+    private fun packArrays(jobs: List<Job>, paper: Paper, now: Duration) {
         var work = Duration.ZERO
         var places = core.jobs.values.sumOf { j -> if (j.spec.kind == JobKind.ARRAY) j.placements.size else 0 } +
-            virtual.sumOf { v -> jobs.firstOrNull()?.let { it.need.countIn(v.room) } ?: 0 }
+            paper.virtual.sumOf { v -> jobs.firstOrNull()?.let { it.need.countIn(v.room) } ?: 0 }
         for (job in jobs) {
             if (now - job.seenAt < ARRAY_PATIENCE) continue
             val spec = job.spec
@@ -104,18 +161,19 @@
             val lead = leadTime(spec)
             val spotPatience = maxOf(lead * 0.5, slack * 0.25) * spotDiscount(spec)
             val ordinaryPatience = maxOf(lead * 1.5, slack * 0.5)
+            val cursor = Cursor(spec)
             repeat(minOf(job.waitingCount(), core.teamRoom(job), MAX_PER_JOB)) {
-                if (place(spec, virtual, null)) return@repeat
+                if (cursor.place(paper)) return@repeat
                 work += each
                 val drain = work / maxOf(places, 1)
                 val patience = if (spec.spot) spotPatience else minOf(spotPatience, ordinaryPatience)
                 if (drain <= patience) return@repeat
-                val v = fresh(spec, virtual, null, now, if (spec.spot) true else null)
-                    ?: (if (drain > ordinaryPatience) fresh(spec, virtual, null, now, null) else null)
+                val v = fresh(spec, paper, null, now, if (spec.spot) true else null)
+                    ?: (if (drain > ordinaryPatience) fresh(spec, paper, null, now, null) else null)
                     ?: return@repeat
-                virtual.add(v)
+                paper.add(v)
                 places += spec.need.countIn(v.room)
-                place(spec, virtual, null)
+                cursor.place(paper)
                 work -= each
             }
         }
@@ -153,10 +211,12 @@
      * Machines are kept busy a little each, so none would ever become empty by itself: when the fleet has had
      * more than a cushion of room for a while, the dearest machine with only short work gets no more of it.
      */
-    private fun retireSurplus(now: Duration) {
+    private fun retireSurplus(waiting: List<Job>, spare: Spare, now: Duration) {
         val ready = core.machines.values.filter { it.trusted && !it.deleting && !it.failed && it.notice == null && it.type in core.types }
         val active = ready.filter { !it.retiring }
-        val load = active.sumOf { m -> share(m) }
+        // What waits is load too. In a large fleet something always waits, and most of it for a moment only.
+        val load = active.sumOf { m -> share(m) } + waiting.sumOf { j -> minOf(j.waitingCount(), core.teamRoom(j)) * shareOf(j.need) }
+        if (load > active.size) keepAgain()
         if (active.size - load <= 1.0 + active.size * CUSHION) {
             surplusSince = null
             return
@@ -165,56 +225,47 @@
         if (now - since < SURPLUS_WAIT) return
         val candidates = active.filter { m -> m.placements.values.all { it.job.spec.kind == JobKind.ARRAY } && m.strays.isEmpty() }
             .sortedWith(compareByDescending<Machine> { price(it) }.thenBy { share(it) })
+        // As many at a time as the fleet is large, so that a large one shrinks as fast as a small one.
+        var left = maxOf(1, active.size / RETIRE_SHARE)
         for (m in candidates) {
+            if (left == 0) return
+            if (!spare.release(m)) continue
             m.retiring = true
-            if (arrivals.values.none { a -> allowed(a.spec, m) && freeSlots(a.spec) < headroomFor(a, now) }) {
-                surplusSince = now - SURPLUS_WAIT + 2.seconds
-                return
-            }
-            m.retiring = false
+            surplusSince = now - SURPLUS_WAIT + 2.seconds
+            left--
         }
     }
 
     /** How much of the machine is in use, by its fullest resource. */
-    private fun share(m: Machine): Double {
-        val t = core.types[m.type]?.room ?: return 0.0
-        val u = m.used()
-        return maxOf(u.cpus / t.cpus.coerceAtLeast(1e-9), if (t.gpus > 0) u.gpus / t.gpus else 0.0, u.memoryGb / t.memoryGb.coerceAtLeast(1e-9))
-    }
+    private fun share(m: Machine): Double = core.types[m.type]?.let { share(m.used(), it.room) } ?: 0.0
 
-    private fun pack(job: Job, virtual: MutableList<Virtual>, now: Duration) {
+    private fun shareOf(need: Amount): Double = core.commonType?.let { share(need, it.room) } ?: 0.0
+
+    private fun share(u: Amount, room: Amount): Double =
+        maxOf(u.cpus / room.cpus.coerceAtLeast(1e-9), if (room.gpus > 0) u.gpus / room.gpus else 0.0, u.memoryGb / room.memoryGb.coerceAtLeast(1e-9))
+
+    private fun pack(job: Job, paper: Paper, now: Duration) {
         var n = minOf(job.waitingCount(), core.teamRoom(job), MAX_PER_JOB)
         if (job.spec.kind == JobKind.GANG) {
             if (core.teamRoom(job) < job.waitingCount()) return
         }
         var zone: String? = null
-        if (job.spec.sameZone) zone = virtual.groupingBy { it.offer.zone }.eachCount().maxByOrNull { it.value }?.key
+        if (job.spec.sameZone) zone = paper.virtual.groupingBy { it.offer.zone }.eachCount().maxByOrNull { it.value }?.key
+        val cursor = Cursor(job.spec, zone)
         while (n > 0) {
-            if (!put(job.spec, virtual, zone, now)) return
+            if (!put(cursor, paper, now)) return
             n--
         }
     }
 
-    private fun put(spec: JobSpec, virtual: MutableList<Virtual>, zone: String?, now: Duration): Boolean {
-        if (place(spec, virtual, zone)) return true
-        virtual.add(fresh(spec, virtual, zone, now, null) ?: return false)
-        return place(spec, virtual, zone)
-    }
-
-    private fun place(spec: JobSpec, virtual: List<Virtual>, zone: String?): Boolean {
-        val v = virtual.firstOrNull { v ->
-            (spec.types == null || v.offer.type in spec.types) &&
-                (spec.zone == null || spec.zone == v.offer.zone) &&
-                (spec.spot || !v.offer.spot) &&
-                (zone == null || zone == v.offer.zone) &&
-                spec.need.fits(v.room)
-        } ?: return false
-        v.room -= spec.need
-        return true
+    private fun put(cursor: Cursor, paper: Paper, now: Duration): Boolean {
+        if (cursor.place(paper)) return true
+        paper.add(fresh(cursor.spec, paper, cursor.zone, now, null) ?: return false)
+        return cursor.place(paper)
     }
 
     /** The cheapest kind of machine for the task that is not known to be refused, in the zone with fewest machines. */
-    private fun fresh(spec: JobSpec, virtual: List<Virtual>, zone: String?, now: Duration, onlySpot: Boolean?): Virtual? {
+    private fun fresh(spec: JobSpec, paper: Paper, zone: String?, now: Duration, onlySpot: Boolean?): Virtual? {
         val offers = ArrayList<Pair<Offer, MachineType>>()
         for (t in core.types.values) {
             if (spec.types != null && t.name !in spec.types || !spec.need.fits(t.room)) continue
@@ -227,10 +278,9 @@
                 }
             }
         }
-        val counts = core.machines.values.groupingBy { it.zone }.eachCount()
         val best = offers.minWithOrNull(
             compareBy<Pair<Offer, MachineType>> { (o, t) -> (if (o.spot) t.spotPrice else t.price) / maxOf(1, spec.need.countIn(t.room)) }
-                .thenBy { (o, _) -> (counts[o.zone] ?: 0) + virtual.count { it.fresh && it.offer.zone == o.zone } },
+                .thenBy { (o, _) -> paper.crowd(o.zone) },
         ) ?: return null
         return Virtual(best.first, best.second.room, true)
     }
@@ -244,34 +294,28 @@
         val type = core.types.values.firstOrNull { a.spec.need.fits(it.room) } ?: return 0
         val lead = type.boot * 1.2 + (a.spec.imageGb / type.fetchGbPerS.coerceAtLeast(0.01)).seconds + 5.seconds
         val mean = rate * (lead / 1.seconds) * core.config.tuning.headroom
-        return ceil(mean + sqrt(mean)).toInt().coerceIn(1, 16)
+        return ceil(mean + sqrt(mean)).toInt().coerceAtLeast(1)
     }
 
-    private fun freeSlots(spec: JobSpec, skip: Machine? = null): Int {
-        var n = 0
-        for (m in core.machines.values) {
-            if (m === skip || m.retiring || m.deleting || m.failed || m.notice != null || !m.trusted || !allowed(spec, m)) continue
-            val t = core.types[m.type] ?: continue
-            // Room that lower work holds can be freed at once, so it counts as spare.
-            var room = m.free(t)
-            for (p in m.placements.values) if (p.job.rank < Priority.URGENT && p.job.spec.kind == JobKind.ARRAY) room += p.job.need
-            while (spec.need.fits(room) && n < 1000) {
-                room -= spec.need
-                n++
-            }
-        }
-        return n
+    private fun slotsOn(spec: JobSpec, m: Machine): Int {
+        if (m.retiring || m.deleting || m.failed || m.notice != null || !m.trusted || m.mutedSince != null || !allowed(spec, m)) return 0
+        val t = core.types[m.type] ?: return 0
+        // Room that lower work holds can be freed at once, so it counts as spare.
+        var room = m.free(t)
+        for (p in m.placements.values) if (p.job.rank < Priority.URGENT && p.job.spec.kind == JobKind.ARRAY) room += p.job.need
+        return spec.need.countIn(room)
     }
 
-    private fun packHeadroom(virtual: MutableList<Virtual>, now: Duration) {
+    private fun packHeadroom(paper: Paper, spare: Spare, now: Duration) {
         for (a in arrivals.values) {
-            var missing = headroomFor(a, now) - freeSlots(a.spec)
-            while (missing-- > 0) if (!put(a.spec, virtual, null, now)) break
+            var missing = spare.missing(a)
+            val cursor = Cursor(a.spec)
+            while (missing-- > 0) if (!put(cursor, paper, now)) break
         }
     }
 
-    private fun order(virtual: List<Virtual>) {
-        for ((offer, list) in virtual.filter { it.fresh }.groupBy { it.offer }) {
+    private fun order(paper: Paper) {
+        for ((offer, list) in paper.virtual.filter { it.fresh }.groupBy { it.offer }) {
             if (open.size >= MAX_OPEN) return
             // The token is this leadership's alone, so the name is never used again by anybody.
             val r = Rent("r-${core.token}-${++serial}", offer.type, offer.zone, offer.spot, minOf(list.size, MAX_RENT))
@@ -280,27 +324,28 @@
         }
     }
 
-    private fun giveBack(now: Duration) {
-        for (m in core.machines.values.sortedByDescending { price(it) }) {
+    private fun giveBack(spare: Spare, now: Duration) {
+        val idle = ArrayList<Machine>()
+        for (m in core.machines.values) {
             if (!m.trusted || m.deleting) continue
-            if (m.busyTasks() > 0) {
-                m.idleSince = null
-                continue
-            }
+            if (m.busyTasks() > 0) m.idleSince = null else idle.add(m)
+        }
+        if (idle.isEmpty()) return
+        val gb = core.jobs.values.let { jobs -> if (jobs.isEmpty()) 0.0 else jobs.sumOf { it.spec.imageGb } / jobs.size }
+        var left = maxOf(1, idle.size / RETURN_SHARE)
+        for (m in idle.sortedByDescending { price(it) }) {
+            if (left == 0) return
             val since = m.idleSince ?: now.also { m.idleSince = now }
-            if (!m.retiring && now - since < idleBound(m)) continue
-            if (!m.retiring && arrivals.values.any { a -> allowed(a.spec, m) && freeSlots(a.spec, m) < headroomFor(a, now) }) continue
+            if (!m.retiring && (now - since < idleBound(m, gb) || !spare.release(m))) continue
             core.returnMachine(m)
-            return
+            left--
         }
     }
 
     /** Keeping an empty machine is worth as long as getting another one ready would take. */
-    private fun idleBound(m: Machine): Duration {
+    private fun idleBound(m: Machine, imageGb: Double): Duration {
         val t = core.types[m.type] ?: return core.config.tuning.idleReturn
-        val images = core.jobs.values.map { it.spec.imageGb }
-        val gb = if (images.isEmpty()) 0.0 else images.average()
-        return core.config.tuning.idleReturn + (t.boot + (gb / t.fetchGbPerS.coerceAtLeast(0.01)).seconds) * 0.5
+        return core.config.tuning.idleReturn + (t.boot + (imageGb / t.fetchGbPerS.coerceAtLeast(0.01)).seconds) * 0.5
     }
 
     private fun price(m: Machine): Double = core.types[m.type]?.let { if (m.spot) it.spotPrice else it.price } ?: 0.0
@@ -310,7 +355,11 @@
         private const val CUSHION = 0.08
         private val SURPLUS_WAIT = 10.seconds
         private const val MAX_RENT = 50
-        private const val MAX_OPEN = 6
+        private const val MAX_OPEN = 12
+
+        /** One in so many is retired, or returned, at a time. */
+        private const val RETIRE_SHARE = 40
+        private const val RETURN_SHARE = 4
         private const val MAX_PER_JOB = 400
         private val PLAN_PERIOD = 1.seconds
         private val ARRAY_PATIENCE = 2.seconds
--- /dev/null
+++ b/src/main/kotlin/glenspool/core/cluster/Evidence.kt
@@ -0,0 +1,189 @@
+package glenspool.core.cluster
+
+import glenspool.core.Scheduler
+import glenspool.core.lifecycle.Job
+import glenspool.core.lifecycle.Placement
+import glenspool.core.lifecycle.Step
+import glenspool.core.model.Amount
+import glenspool.core.model.Command
+import glenspool.core.model.Exit
+import glenspool.core.model.ForgetTask
+import glenspool.core.model.JobKind
+import glenspool.core.model.Report
+import glenspool.core.model.ReportedTask
+import glenspool.core.model.StopTask
+import glenspool.core.model.TaskKey
+import glenspool.core.model.TaskState
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** What reports prove, and what they do not: which tasks are on a machine, which are surely gone, which are done. */
+class Evidence(private val core: Scheduler) {
+    private val startToken = core.token
+    private val now: Duration get() = core.now
+    private val typeRuns = HashMap<String, HashMap<String, Double>>()
+
+    fun fastestType(jobClass: String): String? = typeRuns[jobClass]?.minByOrNull { it.value }?.key
+
+    /** Takes a report in if it is newer than what is known. Null: it is old, or a copy. */
+    fun observe(r: Report): Machine? {
+        // A copy of a report may come long after the machine was deleted: it is not back.
+        if (core.wasDeleted(r.machine)) return null
+        val known = core.machines[r.machine]
+        // The same number is a copy too: it must not renew the evidence of life.
+        if (known != null && !known.newer(r)) return null
+        val m = known ?: core.addMachine(Machine(r.machine, r.type, r.zone, r.spot, now))
+        m.type = r.type
+        m.zone = r.zone
+        m.spot = r.spot
+        m.addr = r.addr
+        m.booting = false
+        if (!m.everHeard) core.images.hand(m)
+        if (r.session > m.session) {
+            if (m.session > 0) core.note(important = true) { "lease-ended machine=${m.id} session=${r.session} tasks=${m.placements.size}" }
+            m.loose.removeIf { it.session < r.session }
+        }
+        m.loose.removeIf { it.token < r.token }
+        m.session = r.session
+        m.seq = r.seq
+        // It has learnt a token since: something of ours has reached it.
+        if (r.token > m.token && r.token >= core.token) m.reached(now)
+        m.token = maxOf(m.token, r.token)
+        m.heard = now
+        m.notice = r.notice
+        m.reported = r.tasks
+        // Until the worker has seen this leader's token, commands of an earlier leader may still be carried out:
+        // such a report shows what is there, but not what will not be.
+        if (r.token >= startToken && !m.trusted) {
+            m.trusted = true
+            core.wantRound()
+        }
+        digest(m, r)
+        return m
+    }
+
+    private fun digest(m: Machine, r: Report) {
+        if (r.tasks.isEmpty() && m.placements.isEmpty() && m.strays.isEmpty()) return
+        val present = HashSet<TaskKey>()
+        val strayNow = HashMap<TaskKey, Amount>()
+        for (t in r.tasks) {
+            val job = core.jobs[t.key.job]
+            val p = m.placements[t.key]?.takeIf { it.attempt == t.attempt }
+            if (t.state == TaskState.EXITED) {
+                exited(m, job, p, t)
+                continue
+            }
+            if (p != null) {
+                present.add(t.key)
+                progress(m, p, t)
+            } else {
+                strayNow[t.key] = job?.need ?: Amount.ZERO
+            }
+        }
+        if (m.trusted) {
+            for (p in m.placements.values.toList()) {
+                if (p.key in present || p.step == Step.INTENDED || p.startSent == null) continue
+                if (m.mayStillStart(p.key, p.attempt)) continue
+                gone(p, m, null)
+            }
+        }
+        if (m.strays.isEmpty() && strayNow.isEmpty()) return
+        for ((k, a) in m.strays.entries.toList()) if (k !in strayNow) core.dropStray(m, k, a)
+        for ((k, a) in strayNow) if (m.addStray(k, a, now)) core.jobs[k.job]?.let { core.countStray(it, m, k) }
+    }
+
+    private fun progress(m: Machine, p: Placement, t: ReportedTask) {
+        if (p.step != Step.SEEN) p.step = Step.SEEN
+        if (p.startSent == null) p.startSent = now
+        if (t.state != TaskState.FETCHING && p.state.let { it == null || it == TaskState.FETCHING }) {
+            m.sawImage(p.job.spec.image, p.job.spec.imageGb, core.types[m.type]?.cacheGb ?: 0.0)
+        }
+        if (t.state == TaskState.RUNNING && p.runningSince == null) {
+            p.runningSince = now
+            if (p.job.spec.kind == JobKind.GANG && p.job.placements.size == p.job.spec.tasks && p.job.placements.values.all { it.state == TaskState.RUNNING || it === p }) {
+                p.job.gangStarted = true
+            }
+        }
+        p.state = t.state
+    }
+
+    private fun exited(m: Machine, job: Job?, p: Placement?, t: ReportedTask) {
+        if (t.exit == Exit.DONE && job != null && job.spec.kind != JobKind.SERVICE && t.key.task < job.spec.tasks) {
+            if (job.spec.kind == JobKind.GANG) {
+                // They complete together: if one task is done, all of them are.
+                if (!job.complete) {
+                    job.finishAllTasks()
+                    job.soft(now)
+                }
+            } else if (!job.done[t.key.task]) {
+                job.finishTask(t.key.task)
+                job.soft(now)
+                learn(m, p)
+            }
+        }
+        if (p == null) return
+        gone(p, m, t.exit)
+    }
+
+    /** Keeps the table of the fastest machine type per class, from how long tasks ran. */
+    private fun learn(m: Machine, p: Placement?) {
+        val started = p?.runningSince ?: return
+        val est = p.job.spec.estimate
+        if (est <= Duration.ZERO || p.job.spec.kind == JobKind.GANG) return
+        val ratio = (now - started) / est
+        val table = typeRuns.getOrPut(p.job.spec.jobClass) { HashMap() }
+        val usual = table[m.type] ?: ratio
+        // Before the sample itself counts: a machine is slow against the others of its type.
+        m.slowness = m.slowness * 0.6 + (ratio / usual.coerceAtLeast(1e-6)).coerceAtMost(MAX_SLOWNESS) * 0.4
+        table[m.type] = usual * 0.9 + ratio * 0.1
+        m.errors = 0
+    }
+
+    /** The attempt is proved to be off its machine. */
+    fun gone(p: Placement, m: Machine, exit: Exit?) {
+        val job = p.job
+        core.drop(p)
+        job.soft(now)
+        core.wantRound()
+        when (exit) {
+            Exit.ERROR, Exit.UNKNOWN -> {
+                job.failedOn.add(m.id)
+                m.errors++
+                if (job.failedOn.size >= 2) {
+                    // On several machines the job is at fault: it must not consume the fleet.
+                    job.notBefore = now + minOf(60.seconds, 2.seconds * (1 shl minOf(job.failedOn.size, 5)))
+                } else {
+                    job.notBefore = now + 1.seconds
+                }
+                if (m.errors >= 3) m.badUntil = now + 60.seconds
+            }
+            Exit.NO_ROOM, Exit.BUSY -> job.notBefore = now + 1.seconds
+            else -> Unit
+        }
+    }
+
+    /** What a worker is told besides the orders sent directly: repeated stops, and what it may forget. */
+    fun routine(m: Machine): List<Command> {
+        if (m.reported.isEmpty()) return emptyList()
+        val result = ArrayList<Command>()
+        for (t in m.reported) {
+            val job = core.jobs[t.key.job]
+            val p = m.placements[t.key]?.takeIf { it.attempt == t.attempt }
+            if (t.state == TaskState.EXITED) {
+                // A start still on its way would start the task again after this.
+                if (m.mayStillStart(t.key, t.attempt)) continue
+                if (t.exit == Exit.DONE && job != null && !job.finished && job.spec.kind != JobKind.SERVICE && !job.storedDone[t.key.task]) continue
+                result.add(ForgetTask(t.key, t.attempt))
+            } else if (p == null) {
+                result.add(StopTask(t.key, t.attempt, Duration.ZERO))
+            } else if (p.stop != null && p.stopSent.let { it != null && now - it > core.config.report * 0.7 } && t.state != TaskState.SAVING) {
+                result.add(StopTask(t.key, t.attempt, p.stopGrace))
+            }
+        }
+        return result
+    }
+
+    private companion object {
+        const val MAX_SLOWNESS = 5.0
+    }
+}
--- a/src/main/kotlin/glenspool/core/cluster/Machine.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Machine.kt
@@ -4,6 +4,7 @@
 import glenspool.core.lifecycle.Placement
 import glenspool.core.model.Amount
 import glenspool.core.model.Command
+import glenspool.core.model.JobKind
 import glenspool.core.model.JobSpec
 import glenspool.core.model.MachineType
 import glenspool.core.model.Report
@@ -43,15 +44,45 @@
     var idleSince: Duration? = null
     var age: Duration = Duration.ZERO
 
-    val placements = LinkedHashMap<TaskKey, Placement>()
+    private val placed = LinkedHashMap<TaskKey, Placement>()
+    private val strayTasks = HashMap<TaskKey, Amount>()
+
+    /** What the placements and strays take; null after a change, since rounds ask far more often than it changes. */
+    private var usedNow: Amount? = null
+    private var servicesNow = 0
+    val placements: Map<TaskKey, Placement> get() = placed
+    val strays: Map<TaskKey, Amount> get() = strayTasks
+
+    /** Since when tasks without a place have been here. */
+    var straySince: Duration? = null
     var reported: List<ReportedTask> = emptyList()
-    val strays = HashMap<TaskKey, Amount>()
     val loose = ArrayList<LooseStart>()
     val orders = ArrayList<Command>()
     var directBusy = false
+
+    /** When the last direct request was sent: it tells that request's starts from earlier ones. */
+    var directAt: Duration? = null
     var directRetry: Duration = Duration.ZERO
     var probeAt: Duration = Duration.ZERO
 
+    /**
+     * Since when direct requests have gone without an answer. Being heard is not being reachable: reports may
+     * arrive from a machine that no answer and no command reaches. Only an answered request ends this.
+     */
+    var mutedSince: Duration? = null
+
+    /** When a direct request was last answered. */
+    var reachedAt: Duration? = null
+
+    fun reached(now: Duration) {
+        reachedAt = now
+        mutedSince = null
+    }
+
+    fun unanswered(since: Duration) {
+        if (mutedSince == null) mutedSince = since
+    }
+
     /** Images that tasks were seen to have here, most recently used last. */
     private val images = LinkedHashMap<String, Double>()
     var errors = 0
@@ -65,11 +96,41 @@
 
     val everHeard: Boolean get() = heard != null
 
-    fun used(): Amount {
+    fun place(p: Placement) {
+        if (placed.put(p.key, p)?.job?.spec?.kind == JobKind.SERVICE) servicesNow--
+        if (p.job.spec.kind == JobKind.SERVICE) servicesNow++
+        usedNow = null
+    }
+
+    fun unplace(p: Placement) {
+        if (placed[p.key] !== p) return
+        placed.remove(p.key)
+        if (p.job.spec.kind == JobKind.SERVICE) servicesNow--
+        usedNow = null
+    }
+
+    /** True if the stray was not known before. */
+    fun addStray(k: TaskKey, a: Amount, now: Duration): Boolean {
+        if (straySince == null) straySince = now
+        usedNow = null
+        return strayTasks.put(k, a) == null
+    }
+
+    fun removeStray(k: TaskKey) {
+        strayTasks.remove(k)
+        if (strayTasks.isEmpty()) straySince = null
+        usedNow = null
+    }
+
+    /** Replicas placed here. */
+    val services: Int get() = servicesNow
+
+    /** Summed anew after each change, so that rounding errors can't add up. */
+    fun used(): Amount = usedNow ?: run {
         var sum = Amount.ZERO
-        for (p in placements.values) sum += p.job.need
-        for (a in strays.values) sum += a
-        return sum
+        for (p in placed.values) sum += p.job.need
+        for (a in strayTasks.values) sum += a
+        sum.also { usedNow = it }
     }
 
     fun free(type: MachineType): Amount = type.room - used()
@@ -81,7 +142,7 @@
     fun hasImage(image: String): Boolean = image in images
 
     /** Whether the image is here or being fetched by some task. */
-    fun willHaveImage(image: String): Boolean = image in images || placements.values.any { it.job.spec.image == image }
+    fun willHaveImage(image: String): Boolean = image in images || placed.values.any { it.job.spec.image == image }
 
     fun sawImage(image: String, gb: Double, cacheGb: Double) {
         images.remove(image)
@@ -99,10 +160,10 @@
     fun ready(now: Duration, freshness: Duration): Boolean {
         val h = heard ?: return false
         val bad = badUntil
-        return trusted && !deleting && !failed && notice == null && now - h <= freshness && (bad == null || now >= bad)
+        return trusted && !deleting && !failed && notice == null && mutedSince == null && now - h <= freshness && (bad == null || now >= bad)
     }
 
-    fun busyTasks(): Int = placements.size + strays.size
+    fun busyTasks(): Int = placed.size + strayTasks.size
 }
 
 /** Whether a job may use a machine at all, whatever else runs. */
--- /dev/null
+++ b/src/main/kotlin/glenspool/core/cluster/Orders.kt
@@ -0,0 +1,109 @@
+package glenspool.core.cluster
+
+import glenspool.core.Direct
+import glenspool.core.DirectOutcome
+import glenspool.core.Scheduler
+import glenspool.core.lifecycle.Placement
+import glenspool.core.lifecycle.Step
+import glenspool.core.lifecycle.StopReason
+import glenspool.core.model.Command
+import glenspool.core.model.StartTask
+import glenspool.core.model.StopTask
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Commands on their way to machines: one request to a machine at a time, and only machines with commands are looked at. */
+class Orders(private val core: Scheduler) {
+    private val pending = LinkedHashSet<Machine>()
+
+    /** Machines with a start that may still be carried out. */
+    private val loose = LinkedHashSet<Machine>()
+
+    fun add(m: Machine, c: Command) {
+        m.orders.add(c)
+        pending.add(m)
+    }
+
+    fun stop(p: Placement, reason: StopReason, grace: Duration) {
+        if (p.stop != null && !(reason == StopReason.CANCELLED && p.stop != StopReason.CANCELLED)) return
+        p.stop = reason
+        core.note { "stop task=${p.key.job}/${p.task} attempt=${p.attempt} machine=${p.machine} reason=$reason grace=$grace" }
+        p.stopGrace = grace
+        p.stopSent = null
+        val m = core.machines[p.machine] ?: return
+        if (p.step == Step.INTENDED) return
+        add(m, StopTask(p.key, p.attempt, grace))
+        p.stopSent = core.now
+    }
+
+    fun flush() {
+        if (pending.isEmpty()) return
+        val each = pending.iterator()
+        while (each.hasNext()) {
+            val m = each.next()
+            if (m.orders.isEmpty() || m.deleting) {
+                each.remove()
+                continue
+            }
+            if (m.directBusy || m.addr.isEmpty() || !m.trusted || core.now < m.directRetry) continue
+            each.remove()
+            val commands = m.orders.filter { c ->
+                val p = m.placements[c.key]
+                c !is StartTask || (p != null && p.attempt == c.attempt && p.step != Step.INTENDED && p.stop == null)
+            }.distinct()
+            m.orders.clear()
+            if (commands.isEmpty()) continue
+            for (c in commands) {
+                if (c is StartTask) {
+                    m.loose.add(LooseStart(c.key, c.attempt, core.token, m.session, core.now))
+                    loose.add(m)
+                    m.placements[c.key]?.startSent = core.now
+                }
+            }
+            send(m, commands)
+        }
+    }
+
+    fun send(m: Machine, commands: List<Command>) {
+        m.directAt = core.now
+        m.directBusy = true
+        core.act(Direct(m.id, m.addr, core.token, m.session, commands))
+    }
+
+    fun ended(m: Machine, sent: Direct, outcome: DirectOutcome) {
+        m.directBusy = false
+        when (outcome) {
+            DirectOutcome.DONE -> m.reached(core.now)
+            DirectOutcome.REFUSED -> m.reached(core.now)
+            DirectOutcome.NOT_SENT, DirectOutcome.UNKNOWN -> m.unanswered(m.directAt ?: core.now)
+            DirectOutcome.NOT_TRIED -> Unit
+        }
+        if (outcome == DirectOutcome.UNKNOWN) {
+            m.directRetry = core.now + 1.seconds
+            return
+        }
+        m.loose.removeIf { l -> l.token == sent.token && l.session == sent.session && l.since == m.directAt }
+        if (outcome == DirectOutcome.DONE) return
+        m.directRetry = core.now + 500.milliseconds
+        for (c in sent.commands) if (c is StartTask) m.placements[c.key]?.let { if (it.attempt == c.attempt && it.step == Step.ORDERED) it.startSent = null }
+    }
+
+    /** Whether a start has been without an answer for so long that the token should be raised. */
+    fun hasStaleStart(): Boolean {
+        val each = loose.iterator()
+        while (each.hasNext()) {
+            val m = each.next()
+            if (m.loose.isEmpty() || m.id !in core.machines) {
+                each.remove()
+            } else if (m.loose.any { core.now - it.since > LOOSE_PATIENCE }) {
+                return true
+            }
+        }
+        return false
+    }
+
+    private companion object {
+        val LOOSE_PATIENCE = 1.seconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/glenspool/core/cluster/Watch.kt
@@ -0,0 +1,203 @@
+package glenspool.core.cluster
+
+import glenspool.core.Delete
+import glenspool.core.Probe
+import glenspool.core.Resign
+import glenspool.core.Scheduler
+import glenspool.core.lifecycle.Step
+import glenspool.core.lifecycle.StopReason
+import glenspool.core.model.TaskState
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Gives machines up that can't be heard or reached, and the leadership if that is our own fault. A machine is only
+ * ever given up by deletion: neither silence nor time proves what is on it.
+ */
+class Watch(private val core: Scheduler) {
+    private val config get() = core.config
+    private val now: Duration get() = core.now
+    private val silence: Duration get() = maxOf(config.lease * config.tuning.silenceShare, config.report * 2.5)
+    private var resigned = false
+
+    // Taken once for each look at the whole fleet, so that judging one machine does not look at all others.
+    private var others = 0
+    private var fresh = 0
+    private var reached = 0
+    private var muted = 0
+
+    fun look() {
+        count()
+        for (m in core.machines.values.toList()) watch(m)
+        checkControls()
+        if (resigned) return
+        if (deaf()) {
+            resign("no worker is heard")
+        } else if (mute()) {
+            resign("no worker is reached")
+        }
+    }
+
+    private fun resign(why: String) {
+        resigned = true
+        core.act(Resign(why))
+    }
+
+    private fun count() {
+        others = 0
+        fresh = 0
+        reached = 0
+        muted = 0
+        // Clearly shorter than the silence bound: machines that all fell silent together must not vouch for each other.
+        val recent = maxOf(silence * 0.6, config.report * 1.4)
+        for (m in core.machines.values) {
+            if (m.deleting) continue
+            if (m.mutedSince != null) muted++
+            val r = m.reachedAt
+            if (r != null && now - r <= recent) reached++
+            val h = m.heard ?: continue
+            others++
+            if (now - h <= recent) fresh++
+        }
+    }
+
+    private fun watch(m: Machine) {
+        if (m.deleting) {
+            if (m.deleteSent == null && now >= m.directRetry) sendDelete(m)
+            return
+        }
+        val quiet = now - (m.heard ?: maxOf(m.firstSeen, core.startedAt))
+        if (m.booting && !m.everHeard) {
+            val boot = core.types[m.type]?.boot ?: 60.seconds
+            val age = maxOf(m.age, now - m.firstSeen)
+            if (age > boot * config.tuning.bootPatience + config.listLag * 2) delete(m, "never-came-up")
+            return
+        }
+        if (m.notice != null) {
+            if (m.busyTasks() == 0 && m.trusted) {
+                delete(m, "notice")
+                return
+            }
+            drainForNotice(m)
+        }
+        if ((quiet > config.report * 1.6 + 500.milliseconds || m.mutedSince != null) && m.addr.isNotEmpty() && now >= m.probeAt) probe(m)
+        if (cancelledTooLong(m)) {
+            // Cancelled work on a machine that does not carry out our commands must be gone in time, heard or not.
+            delete(m, "cancelled-work")
+            return
+        }
+        val unreached = m.mutedSince
+        // Its reports come in, but nothing reaches it: its tasks die with its lease, session after session. Only
+        // while other machines are reached, or it is our own way out that is cut.
+        if (unreached != null && now - unreached > silence && reached > muted) {
+            delete(m, "unreachable")
+            return
+        }
+        val limit = if (m.missingSince.let { it != null && now - it > config.listLag * 2 + 2.seconds } && m.listed) config.report * 2.5 else silence
+        // Silence for two leases is given up in any case: if most machines are really lost, waiting would never end.
+        if (quiet > limit && (mostAreHeard(m) || quiet > config.lease * 2)) {
+            if (!m.everHeard && m.addr.isEmpty() && now - core.startedAt < config.listLag * 2 + 2.seconds) return
+            delete(m, "silent")
+        }
+    }
+
+    private fun probe(m: Machine) {
+        m.probeAt = now + maxOf(2.seconds, config.report)
+        core.act(Probe(m.id, m.addr))
+    }
+
+    /**
+     * A task of a cancelled job, or one whose job is over and whose origin nobody remembers, is still there although
+     * stopping it takes a moment. A new leader gets that moment before it judges.
+     */
+    private fun cancelledTooLong(m: Machine): Boolean {
+        if (now - core.startedAt > STOP_TIME && m.straySince.let { it != null && now - it > config.cancel * 0.6 }) return true
+        var due: Duration? = null
+        for (p in m.placements.values) p.job.cancelledAt?.let { c -> due = minOf(due ?: c, c) }
+        for (k in m.strays.keys) core.jobs[k.job]?.cancelledAt?.let { c -> due = minOf(due ?: c, c) }
+        val since = now - (due ?: return false)
+        return since > config.cancel * 0.6 && now - core.startedAt > STOP_TIME || since > config.cancel * 0.8
+    }
+
+    /** A cut or a stall on our own side makes every machine look silent: then none is given up. */
+    private fun mostAreHeard(but: Machine): Boolean {
+        val rest = others - (if (but.everHeard) 1 else 0)
+        if (rest <= 0) return now - core.startedAt > config.lease * 2
+        return fresh * 2 > rest
+    }
+
+    /** While some machine does not answer, a few others are asked too: they tell whose fault it is. */
+    private fun checkControls() {
+        if (muted == 0 || reached > muted) return
+        core.machines.values
+            .filter { it.mutedSince == null && !it.deleting && it.everHeard && it.addr.isNotEmpty() && now >= it.probeAt }
+            .sortedBy { it.reachedAt ?: Duration.ZERO }
+            .take(minOf(muted + 1, MAX_CONTROLS))
+            .forEach(::probe)
+    }
+
+    /**
+     * A leader that no worker reaches keeps them all from one that could answer, until their leases end. So it
+     * gives way well before that; where nobody else hears them either, nothing is lost.
+     */
+    private fun deaf(): Boolean {
+        var up = 0
+        var last: Duration? = null
+        for (m in core.machines.values) {
+            if (m.deleting || m.booting) continue
+            up++
+            m.heard?.let { h -> last = maxOf(last ?: h, h) }
+        }
+        if (up < DEAF_MACHINES) return false
+        return last.let { if (it == null) now - core.startedAt > config.lease * 0.6 else now - it > maxOf(config.report * 2.5, 3.seconds) }
+    }
+
+    /** The same for a leader that hears workers but reaches none of those it tries. */
+    private fun mute(): Boolean = muted >= DEAF_MACHINES &&
+        reached == 0 &&
+        core.machines.values.count { m -> m.mutedSince.let { it != null && now - it > silence } } >= DEAF_MACHINES
+
+    private fun drainForNotice(m: Machine) {
+        for (p in m.placements.values) {
+            if (p.stop != null || p.step != Step.SEEN) continue
+            val s = p.job.spec
+            if (s.checkpoint > Duration.ZERO || p.state == TaskState.FETCHING) core.stop(p, StopReason.NOTICE, s.save + Scheduler.GRACE_SLACK)
+        }
+    }
+
+    fun delete(m: Machine, why: String) {
+        if (m.deleting) return
+        core.note(important = true) { "give-up machine=${m.id} reason=$why tasks=${m.placements.size} heard=${m.heard} now=$now" }
+        m.deleting = true
+        m.orders.clear()
+        sendDelete(m)
+    }
+
+    private val toDelete = LinkedHashSet<String>()
+    private var deletedAt = core.startedAt - 10.seconds
+
+    private fun sendDelete(m: Machine) {
+        m.deleteSent = now
+        toDelete.add(m.id)
+    }
+
+    /** A lost rack is one call to the cloud, not one for each machine: its calls are few. */
+    fun flush() {
+        if (toDelete.isEmpty() || now - deletedAt < DELETE_GAP) return
+        deletedAt = now
+        val batch = toDelete.take(MAX_DELETE)
+        toDelete.removeAll(batch.toSet())
+        core.act(Delete(batch))
+    }
+
+    private companion object {
+        const val DEAF_MACHINES = 3
+        const val MAX_CONTROLS = 6
+        const val MAX_DELETE = 100
+        val DELETE_GAP = 400.milliseconds
+
+        /** What a new leader needs to have its stops carried out before it judges. */
+        val STOP_TIME = 6.seconds
+    }
+}
--- a/src/main/kotlin/glenspool/core/lifecycle/Job.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Job.kt
@@ -48,16 +48,24 @@
     val key = TaskKey(job.spec.id, task)
 }
 
-/** A live job as the leader knows it. */
-class Job(record: JobRecord, var version: Long) {
+/**
+ * A live job as the leader knows it. [touched] is told of every change that may have to be stored, so that nobody
+ * has to look through all jobs for those that changed.
+ */
+class Job(record: JobRecord, var version: Long, private val touched: (Job) -> Unit = {}) {
     val spec: JobSpec = record.spec
     val submitted: Duration = record.submitted
     val done: BitSet = record.done.clone() as BitSet
+    private var doneCount = done.cardinality()
 
     /** Done bits that are known to be stored; only these tasks may be forgotten by their workers. */
     val storedDone: BitSet = record.done.clone() as BitSet
     var lastAttempt: Long = record.lastAttempt
-    val placements = Int2ObjectRBTreeMap<Placement>()
+    private val placed = Int2ObjectRBTreeMap<Placement>()
+
+    /** Placements of tasks that are not done; kept as a count, since every round asks for it. */
+    private var placedOpen = 0
+    val placements: Map<Int, Placement> get() = placed
     var cancelVersion: Long? = null
     var cancelledAt: Duration? = null
 
@@ -82,35 +90,71 @@
     var seenAt: Duration = Duration.ZERO
 
     val cancelled: Boolean get() = cancelVersion != null
-    val complete: Boolean get() = spec.kind != JobKind.SERVICE && done.cardinality() >= spec.tasks
+    val complete: Boolean get() = spec.kind != JobKind.SERVICE && doneCount >= spec.tasks
 
-    fun changed(): Long = ++changes
+    /** Something that must be stored before the work can go on. */
+    fun changed(): Long {
+        touched(this)
+        return ++changes
+    }
 
+    /** Something that should be stored within a while. */
     fun soft(now: Duration) {
         if (softSince == null) softSince = now
+        touched(this)
+    }
+
+    fun touch() = touched(this)
+
+    /** Whether any of its tasks ever had a place or a result. */
+    val begun: Boolean get() = lastAttempt > 0
+
+    fun placementOf(task: Int): Placement? = placed.get(task)
+
+    fun place(p: Placement) {
+        unplace(p.task)
+        placed.put(p.task, p)
+        if (!done[p.task]) placedOpen++
+    }
+
+    fun unplace(task: Int) {
+        val old = placed.remove(task) ?: return
+        if (!done[old.task]) placedOpen--
+    }
+
+    /** The task's result is known. */
+    fun finishTask(task: Int) {
+        if (done[task]) return
+        if (placed.containsKey(task)) placedOpen--
+        done.set(task)
+        doneCount++
+    }
+
+    fun finishAllTasks() {
+        for (t in 0 until spec.tasks) finishTask(t)
     }
 
     /** Tasks that are neither done nor placed, lowest first, at most [limit]. */
     fun waiting(limit: Int): List<Int> {
-        if (cancelled || finished) return emptyList()
-        val result = ArrayList<Int>()
+        if (waitingCount() <= 0) return emptyList()
+        val result = ArrayList<Int>(minOf(limit, 16))
         var t = done.nextClearBit(0)
         while (t < spec.tasks && result.size < limit) {
-            if (!placements.containsKey(t) && TaskKey(spec.id, t) !in strays) result.add(t)
+            if (!placed.containsKey(t) && (strays.isEmpty() || TaskKey(spec.id, t) !in strays)) result.add(t)
             t = done.nextClearBit(t + 1)
         }
         return result
     }
 
-    fun waitingCount(): Int =
-        if (cancelled || finished) 0 else spec.tasks - done.cardinality() - placements.values.count { !done[it.task] }
+    /** How many tasks wait for a place; those that are somewhere without a place of ours count as waiting. */
+    fun waitingCount(): Int = if (cancelled || finished) 0 else spec.tasks - doneCount - placedOpen
 
     fun record() = JobRecord(
         spec,
         submitted,
         lastAttempt,
         done.clone() as BitSet,
-        placements.values.map { Intent(it.task, it.attempt, it.machine) },
+        placed.values.map { Intent(it.task, it.attempt, it.machine) },
     )
 
     /** Preempting this loses little: work that saves, is young or waits for its image. */
--- /dev/null
+++ b/src/main/kotlin/glenspool/core/lifecycle/Storing.kt
@@ -0,0 +1,177 @@
+package glenspool.core.lifecycle
+
+import glenspool.core.CHUNK
+import glenspool.core.CHUNKED_ABOVE
+import glenspool.core.FinishJob
+import glenspool.core.JobWrite
+import glenspool.core.SaveJob
+import glenspool.core.Scheduler
+import glenspool.core.Store
+import glenspool.core.StoreOutcome
+import glenspool.core.model.Priority
+import glenspool.core.model.StartTask
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * What is stored when. The state service takes few changes a second, shared by acceptance at every node, so the
+ * leader spends a share of them by urgency: places of critical work first, then ends of jobs, other places, and last
+ * what only saves work after a failure. All that a job has to say goes into one change.
+ */
+class Storing(private val core: Scheduler) {
+    private val dirty = LinkedHashSet<Job>()
+    private var busy = false
+    private var pausedUntil = core.startedAt
+    private var storing: List<JobWrite> = emptyList()
+    private val burst = maxOf(core.config.writeRps * LEADER_SHARE, core.config.txnOps.toDouble())
+    private var tokens = burst
+    private var filledAt = core.startedAt
+
+    fun touched(job: Job) {
+        dirty.add(job)
+    }
+
+    private enum class Urgency { CRITICAL_PLACE, END, PLACE, RESULT }
+
+    private fun urgency(job: Job): Urgency? = when {
+        job.finished || job.writing -> null
+        job.changes > job.saved && job.rank == Priority.CRITICAL && !job.cancelled -> Urgency.CRITICAL_PLACE
+        finishable(job) -> Urgency.END
+        job.changes > job.saved -> Urgency.PLACE
+        job.softSince != null && !job.cancelled -> Urgency.RESULT
+        else -> null
+    }
+
+    fun flush() {
+        if (busy || dirty.isEmpty() || core.now < pausedUntil) return
+        fill()
+        if (tokens < 1.0) return
+        val due = ArrayList<Pair<Urgency, Job>>()
+        val each = dirty.iterator()
+        while (each.hasNext()) {
+            val job = each.next()
+            val u = urgency(job)
+            if (u == null) {
+                if (!job.writing) each.remove()
+                continue
+            }
+            if (u != Urgency.RESULT || job.softSince.let { it != null && core.now - it > SOFT_DELAY }) due.add(u to job)
+        }
+        if (due.isEmpty()) return
+        due.sortWith(
+            compareBy<Pair<Urgency, Job>> { it.first }.thenByDescending { it.second.rank }.thenBy {
+                if (it.first ==
+                    Urgency.RESULT
+                ) {
+                    it.second.softSince
+                } else {
+                    it.second.submitted
+                }
+            },
+        )
+        val writes = ArrayList<JobWrite>()
+        var ops = 0
+        for ((u, job) in due) {
+            val w = writeFor(job)
+            val cost = opsOf(w)
+            if (ops + cost > core.config.txnOps) {
+                if (writes.isEmpty()) error("txn_ops ${core.config.txnOps} is too small for one job's change")
+                break
+            }
+            // Results never use the last of the budget: a place that somebody waits for may come at any moment.
+            val reserve = if (u == Urgency.RESULT) minOf(burst / 2, burst - cost) else 0.0
+            if (tokens - ops - cost < reserve) break
+            ops += cost
+            writes.add(w)
+            job.writing = true
+            if (w is SaveJob) job.softSince = null
+        }
+        if (writes.isEmpty()) return
+        tokens -= ops
+        busy = true
+        storing = writes
+        core.act(Store(writes))
+    }
+
+    private fun fill() {
+        tokens = minOf(burst, tokens + core.config.writeRps * LEADER_SHARE * ((core.now - filledAt) / 1.seconds))
+        filledAt = core.now
+    }
+
+    fun ended(outcome: StoreOutcome) {
+        busy = false
+        val writes = storing
+        storing = emptyList()
+        for (w in writes) {
+            val job = core.jobs[w.id] ?: continue
+            job.writing = false
+            if (outcome is StoreOutcome.Stored) {
+                confirm(job, w, outcome.revision)
+            } else {
+                // What it would have stored is still to be stored, its results too.
+                job.soft(core.now)
+            }
+        }
+        if (outcome !is StoreOutcome.Stored) pausedUntil = core.now + RETRY
+    }
+
+    private fun confirm(job: Job, w: JobWrite, revision: Long) {
+        if (revision > job.version) job.version = revision
+        when (w) {
+            is FinishJob -> core.jobGone(job.spec.id)
+            is SaveJob -> {
+                job.saved = w.change
+                job.storedDone.or(w.record.done)
+                if (w.record.done.cardinality() > 0 && job.spec.tasks > CHUNKED_ABOVE && job.dirtyChunks().isNotEmpty()) job.soft(core.now)
+                for (p in job.placements.values.toList()) {
+                    if (p.step != Step.INTENDED || p.storedAt > job.saved) continue
+                    if (job.cancelled) {
+                        core.drop(p)
+                        continue
+                    }
+                    p.step = Step.ORDERED
+                    if (!p.deferred) core.machines[p.machine]?.let { core.orders.add(it, StartTask(p.key, p.attempt)) }
+                }
+            }
+        }
+    }
+
+    private fun finishable(job: Job): Boolean = (job.cancelled && job.placements.isEmpty() && job.strays.isEmpty()) || job.complete
+
+    private fun writeFor(job: Job): JobWrite {
+        if (job.complete && !job.cancelled) return FinishJob(job.spec.id, job.version, null, job.spec.tasks)
+        if (job.cancelled && finishable(job)) return FinishJob(job.spec.id, job.version, job.cancelVersion, job.spec.tasks)
+        return SaveJob(
+            job.spec.id,
+            job.version,
+            job.record(),
+            job.dirtyChunks(),
+            job.changes,
+            job.placements.values.any { it.step == Step.INTENDED },
+        )
+    }
+
+    private fun opsOf(w: JobWrite): Int = when (w) {
+        is SaveJob -> 1 + w.chunks.size
+        is FinishJob -> 2 + (if (w.cancelVersion != null) 1 else 0)
+    }
+
+    private companion object {
+        /** The rest is for acceptance and cancellation, which every node stores by itself. */
+        const val LEADER_SHARE = 0.8
+        val SOFT_DELAY: Duration = 1500.milliseconds
+        val RETRY: Duration = 150.milliseconds
+    }
+}
+
+private fun Job.dirtyChunks(): List<Int> {
+    if (spec.tasks <= CHUNKED_ABOVE) return emptyList()
+    val chunks = LinkedHashSet<Int>()
+    var t = done.nextSetBit(0)
+    while (t >= 0) {
+        if (!storedDone[t]) chunks.add(t / CHUNK)
+        t = done.nextSetBit(t + 1)
+    }
+    return chunks.take(2)
+}
--- a/src/main/kotlin/glenspool/core/placement/RoomMaker.kt
+++ b/src/main/kotlin/glenspool/core/placement/RoomMaker.kt
@@ -28,7 +28,7 @@
             if (core.fetchTime(job) < patience * 2) continue
             val wanted = minOf(job.waitingCount(), core.teamRoom(job))
             if (wanted <= 0 || job.spec.kind == JobKind.GANG && wanted < job.waitingCount()) continue
-            val usable = ready.filter { allowed(job, it) && it.hasImage(job.spec.image) }
+            val usable = ready.filter { it.hasImage(job.spec.image) && allowed(job, it) }
             if (roomFor(job, usable) >= wantedAtOnce(job)) continue
             if (job.spec.kind == JobKind.GANG && (job.spec.sameZone && usable.distinctBy { it.zone }.size > 1 || usable.sumOf { possibleRoom(it, job) } < wanted)) continue
             val claimed = HashMap<Machine, Amount>()
@@ -49,7 +49,7 @@
     /** The same if lower work made way. */
     private fun possibleRoom(m: Machine, job: Job): Int {
         var room = core.types[m.type]?.let { m.free(it) } ?: return 0
-        for (p in m.placements.values) if (yields(p, job)) room += p.job.need
+        for (p in m.placements.values) if (yields(p, job) || p.stop != null) room += p.job.need
         return job.need.countIn(room)
     }
 
@@ -65,14 +65,29 @@
         val waiting = core.jobs.values
             .filter { !it.cancelled && it.rank >= Priority.URGENT && it.waiting(1).isNotEmpty() && it.notBefore.let { b -> b == null || core.now >= b } }
             .sortedWith(compareByDescending<Job> { it.rank }.thenBy { it.submitted })
+        if (waiting.isEmpty()) return
+        // Only where something could make way, or already does, or there is room: most of a large fleet drops out here.
+        val top = waiting.first().rank
+        val possible = ready.filter { m ->
+            val free = core.types[m.type]?.let { m.free(it) }
+            m.placements.values.any { it.stop != null || it.job.rank < top } || free != null && waiting.any { it.need.fits(free) }
+        }
         // Room that earlier stops are already making is not asked for twice.
         val claimed = HashMap<Machine, Amount>()
         for (job in waiting) {
             var n = minOf(job.waitingCount(), core.teamRoom(job))
-            if (job.spec.kind == JobKind.GANG && core.teamRoom(job) < job.waitingCount()) continue
-            for (m in ready.sortedBy { if (it.hasImage(job.spec.image)) 0 else 1 }) {
+            val whole = job.spec.kind == JobKind.GANG
+            if (whole && core.teamRoom(job) < job.waitingCount()) continue
+            val (cached, rest) = possible.filter { allowed(job, it) }.partition { it.hasImage(job.spec.image) }
+            var usable = cached + rest
+            if (whole) {
+                // Work is not stopped for a gang that would not be whole even then.
+                val zones = if (job.spec.sameZone) usable.groupBy { it.zone }.values else listOf(usable)
+                usable = zones.maxByOrNull { z -> z.sumOf { possibleRoom(it, job) } } ?: continue
+                if (usable.sumOf { possibleRoom(it, job) } < n) continue
+            }
+            for (m in usable) {
                 if (n <= 0) break
-                if (!allowed(job, m)) continue
                 n -= makeRoomOn(m, job, claimed, n)
             }
         }
--- a/src/main/kotlin/glenspool/core/placement/Round.kt
+++ b/src/main/kotlin/glenspool/core/placement/Round.kt
@@ -9,6 +9,7 @@
 import glenspool.core.model.MachineType
 import glenspool.core.model.Priority
 import glenspool.core.model.Resource
+import java.util.PriorityQueue
 import kotlin.time.Duration
 
 /** The bottleneck resource of a task, after DESIGN: GPU if it asks for one, else memory or CPU by share. */
@@ -66,16 +67,25 @@
     private val free = LinkedHashMap<Machine, Amount>()
     private val held = HashSet<Machine>()
 
+    /** All that are ready, also those that are full now: a gang may have their room held as it becomes free. */
+    private val all = machines.filter { it.type in view.types }
+    private val suits = HashMap<Job, Suitability>()
+
     init {
-        for (m in machines) view.types[m.type]?.let { free[m] = m.free(it) }
+        // A full machine takes no part: with the smallest waiting task in mind, most of a busy fleet drops out here.
+        val cpus = jobs.minOfOrNull { it.need.cpus } ?: 0.0
+        val gpus = jobs.minOfOrNull { it.need.gpus } ?: 0.0
+        val memory = jobs.minOfOrNull { it.need.memoryGb } ?: 0.0
+        val least = Amount(cpus, gpus, memory)
+        for (m in all) view.types[m.type]?.let { t -> m.free(t).let { if (least.fits(it)) free[m] = it } }
     }
 
     /** Gangs that could not be placed and have waited past the bound have machines [held] for them. */
     fun run(holdFor: (Job) -> Boolean) {
         for (priority in Priority.entries.asReversed()) {
-            val level = jobs.filter { it.rank == priority }
-                .sortedWith(compareBy<Job> { !view.withinGuarantee(it) }.thenBy { view.order(it) }.thenBy { it.spec.id })
-            if (level.isEmpty()) continue
+            val keyed = jobs.filter { it.rank == priority }.map { Triple(!view.withinGuarantee(it), view.order(it), it) }
+            if (keyed.isEmpty()) continue
+            val level = keyed.sortedWith(compareBy<Triple<Boolean, Duration, Job>> { it.first }.thenBy { it.second }.thenBy { it.third.spec.id }).map { it.third }
             for (job in level) {
                 if (job.spec.kind == JobKind.GANG && !placeGang(job) && holdFor(job)) hold(job)
             }
@@ -95,25 +105,32 @@
         val attempt = view.newGangAttempt(job)
         for ((task, m) in plan) {
             view.place(job, task, m, attempt)
-            free[m] = free.getValue(m) - job.need
+            take(m, job)
         }
         view.gangPlaced(job)
         return true
     }
 
+    private fun take(m: Machine, job: Job) {
+        free[m] = free.getValue(m) - job.need
+        // Its image is on its way there now, and the machine is no longer empty: that may suit others better.
+        for (s in suits.values) s.changed(m)
+    }
+
     private fun planGang(job: Job, tasks: List<Int>, zone: String?): List<Pair<Int, Machine>>? {
         val room = HashMap<Machine, Amount>()
         val perZone = HashMap<String, Int>()
         val plan = ArrayList<Pair<Int, Machine>>()
-        val candidates = free.keys
-            .filter { it !in held && allowed(job.spec, it) && (zone == null || it.zone == zone) && !view.avoids(job, it) }
-            .sortedWith(
-                compareBy<Machine> { if (it.type == view.fastestType(job.spec.jobClass)) 0 else 1 }
-                    .thenBy { if (it.hasImage(job.spec.image)) 0 else 1 }
-                    .thenBy { view.misfit(job, it) }
-                    .thenBy { it.slowness }
-                    .thenByDescending { free.getValue(it).gpus },
-            )
+        val fastest = view.fastestType(job.spec.jobClass)
+        val fitting = free.filter { (m, r) -> m !in held && job.need.fits(r) && allowed(job.spec, m) && (zone == null || m.zone == zone) && !view.avoids(job, m) }.keys
+        if (fitting.sumOf { job.need.countIn(free.getValue(it)) } < tasks.size) return null
+        val candidates = fitting.sortedWith(
+            compareBy<Machine> { if (it.type == fastest) 0 else 1 }
+                .thenBy { if (it.hasImage(job.spec.image)) 0 else 1 }
+                .thenBy { view.misfit(job, it) }
+                .thenBy { it.slowness }
+                .thenByDescending { free.getValue(it).gpus },
+        )
         val left = ArrayDeque(tasks)
         for (m in candidates) {
             var r = room[m] ?: free.getValue(m)
@@ -128,49 +145,72 @@
         return null
     }
 
-    /** Keeps free machines that the gang could use from lower work in this round. */
+    /** Keeps machines that the gang could use from lower work in this round, so that they become free for it. */
     private fun hold(job: Job) {
-        var wanted = job.spec.tasks
-        val zone = if (job.spec.sameZone) free.keys.filter { allowed(job.spec, it) }.groupingBy { it.zone }.eachCount().maxByOrNull { it.value }?.key else null
-        for ((m, r) in free.entries.sortedBy { it.key.busyTasks() }) {
+        var wanted = job.waitingCount()
+        val usable = all.filter { it !in held && allowed(job.spec, it) && !view.avoids(job, it) && job.need.fits(view.types.getValue(it.type).room) }
+        val zone = if (job.spec.sameZone) usable.groupingBy { it.zone }.eachCount().maxByOrNull { it.value }?.key else null
+        for (m in usable.sortedBy { it.busyTasks() }) {
             if (wanted <= 0) return
-            if (m in held || !allowed(job.spec, m) || (zone != null && m.zone != zone)) continue
+            if (zone != null && m.zone != zone) continue
             held.add(m)
-            wanted -= maxOf(1, minOf((r.cpus / job.need.cpus.coerceAtLeast(0.1)).toInt(), 8))
+            wanted -= job.need.countIn(view.types.getValue(m.type).room)
         }
     }
 
     private fun matchTasks(level: List<Job>) {
+        if (level.isEmpty()) return
         val byResource = level.groupBy { bottleneck(it.need, view.commonType, view.factor) }
         for (pass in listOf(true, false)) {
+            val waiting = byResource.mapValues { (_, l) -> l.filterTo(ArrayList()) { it.waitingCount() > 0 } }
             val queues = Resource.entries.associateWith { r ->
-                ArrayDeque(
-                    free.keys.filter { m -> m !in held && free.getValue(m).of(r) > Amount.EPS && byResource[r] != null }
-                        .sortedWith(
-                            compareByDescending<Machine> { view.types.getValue(it.type).room.of(r) }
-                                .thenByDescending { free.getValue(it).of(r) },
-                        ),
-                )
+                if (waiting[r].isNullOrEmpty()) {
+                    ArrayDeque()
+                } else {
+                    ArrayDeque(
+                        free.keys.filter { m -> m !in held && free.getValue(m).of(r) > Amount.EPS }
+                            .sortedWith(
+                                compareByDescending<Machine> { view.types.getValue(it.type).room.of(r) }
+                                    .thenByDescending { free.getValue(it).of(r) },
+                            ),
+                    )
+                }
             }
             while (queues.values.any { it.isNotEmpty() }) {
                 for (r in Resource.entries) {
                     val q = queues.getValue(r)
                     val m = q.removeFirstOrNull() ?: continue
-                    if (matchOne(m, byResource[r] ?: emptyList(), pass) && free.getValue(m).of(r) > Amount.EPS) q.addLast(m)
+                    val list = waiting[r]
+                    if (list.isNullOrEmpty()) {
+                        q.clear()
+                        continue
+                    }
+                    if (matchOne(m, list, pass) && free.getValue(m).of(r) > Amount.EPS) q.addLast(m)
                 }
             }
         }
     }
 
     /** Gives the machine one task. In the first pass only if no other machine suits the task better. */
-    private fun matchOne(m: Machine, jobs: List<Job>, preferredOnly: Boolean): Boolean {
+    private fun matchOne(m: Machine, jobs: MutableList<Job>, preferredOnly: Boolean): Boolean {
         val room = free.getValue(m)
-        for (job in jobs) {
+        val each = jobs.iterator()
+        while (each.hasNext()) {
+            val job = each.next()
+            // What no machine can do for the job now, no later draw of this round can.
+            if (job.waitingCount() <= 0 || view.teamRoom(job) <= 0 || view.recordRoom(job) <= 0) {
+                each.remove()
+                continue
+            }
             if (!fits(job, m, room)) continue
             if (preferredOnly && !preferred(job, m)) continue
-            val task = job.waiting(1).firstOrNull() ?: continue
+            val task = job.waiting(1).firstOrNull()
+            if (task == null) {
+                each.remove()
+                continue
+            }
             view.place(job, task, m, null)
-            free[m] = free.getValue(m) - job.need
+            take(m, job)
             return true
         }
         return false
@@ -181,22 +221,39 @@
             !(m.retiring && job.spec.kind == JobKind.ARRAY) &&
             allowed(job.spec, m) &&
             !view.avoids(job, m) &&
-            job.waiting(1).isNotEmpty() &&
-            zoneAllows(job, m.zone, view::zoneOf) &&
-            view.teamRoom(job) > 0 &&
-            view.recordRoom(job) > 0
+            zoneAllows(job, m.zone, view::zoneOf)
 
     /** The fastest type, then a cached image, then a machine that fits the job's price and spread. */
-    private fun preferred(job: Job, m: Machine): Boolean {
-        val mine = score(job, m)
-        return free.none { (o, r) ->
-            o !== m &&
-                !(o.retiring && job.spec.kind == JobKind.ARRAY) &&
-                o !in held &&
-                job.need.fits(r) &&
-                allowed(job.spec, o) &&
-                !view.avoids(job, o) &&
-                score(job, o) < mine
+    private fun preferred(job: Job, m: Machine): Boolean = suits.getOrPut(job) { Suitability(job) }.best() >= score(job, m)
+
+    /**
+     * How well the machines with room suit one job, best first. A machine that changed is entered anew and its old
+     * entries are passed over, so that a draw need not look at every machine.
+     */
+    private inner class Suitability(private val job: Job) {
+        private inner class Entry(val score: Int, val machine: Machine)
+
+        private val queue = PriorityQueue<Entry>(11) { a, b -> a.score.compareTo(b.score) }
+
+        init {
+            for (m in free.keys) enter(m)
+        }
+
+        private fun enter(m: Machine) {
+            if (usable(m)) queue.add(Entry(score(job, m), m))
+        }
+
+        private fun usable(m: Machine): Boolean =
+            !(m.retiring && job.spec.kind == JobKind.ARRAY) && m !in held && job.need.fits(free.getValue(m)) && allowed(job.spec, m) && !view.avoids(job, m)
+
+        fun changed(m: Machine) = enter(m)
+
+        fun best(): Int {
+            while (true) {
+                val top = queue.peek() ?: return Int.MAX_VALUE
+                if (usable(top.machine) && score(job, top.machine) == top.score) return top.score
+                queue.poll()
+            }
         }
     }
 
@@ -213,7 +270,7 @@
         s += view.misfit(job, m) * 60
         if (job.spec.kind == JobKind.SERVICE && view.needsCache(job)) {
             // Spread out, such services leave room and their images on many machines for those to come.
-            s += 5 * m.placements.values.count { it.job.spec.kind == JobKind.SERVICE }
+            s += 5 * m.services
         } else if (m.busyTasks() == 0 || m.retiring) {
             // An empty machine is worth most whole: to a gang, or returned.
             s += 20
--- a/src/main/kotlin/glenspool/state/Keys.kt
+++ b/src/main/kotlin/glenspool/state/Keys.kt
@@ -11,7 +11,7 @@
     const val LEAD = "g/lead"
     const val TERM = "g/term"
     const val TYPES = "g/types"
-    const val IMAGES = "g/images"
+    const val IMAGES = "g/images/"
     const val JOB = "g/j/"
     const val CANCEL = "g/c/"
     const val CHUNK = "g/d/"
@@ -21,6 +21,8 @@
 
     fun cancel(id: String) = CANCEL + id
 
+    fun images(part: Int) = "$IMAGES$part"
+
     fun final(id: String) = FINAL + id
 
     fun chunks(id: String) = "$CHUNK$id/"
