A node that lost everything but its workers lets them go; calls queue instead of failing

Now such a node lets each worker go once in a lease and keeps one that comes back (it found nobody else), is not ready, and sends users elsewhere at once. A node whose peers see the same outage keeps every lease as before. Ruled out: letting go at once and always, since three nodes that each lost the others would let every lease run out (test: the worst round ends within the lease). Calls that find all threads busy wait in turn.

--- /dev/null
+++ b/src/main/kotlin/glenspool/api/LeaseKeeper.kt
@@ -0,0 +1,50 @@
+package glenspool.api
+
+import com.google.common.base.Ticker
+import com.google.common.cache.CacheBuilder
+import glenspool.config.WorkerSettings
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.toJavaDuration
+
+/**
+ * Whether a node that knows of no leader keeps a worker's lease by answering it. [elapsed] is the time since the
+ * node's start.
+ */
+class LeaseKeeper(private val workers: WorkerSettings, private val otherNodes: Int, private val elapsed: () -> Duration) {
+    private val letGo = CacheBuilder.newBuilder()
+        .ticker(
+            object : Ticker() {
+                override fun read(): Long = elapsed().inWholeNanoseconds
+            },
+        )
+        .maximumSize(MAX_WORKERS)
+        .expireAfterWrite(workers.lease.toJavaDuration())
+        .build<String, Boolean>()
+
+    /**
+     * [knowsState]: this node has read the state at some time. [isolated]: it has lost the state service and every
+     * other node.
+     */
+    fun keeps(machine: String, knowsState: Boolean, isolated: Boolean): Boolean = when {
+        // Without the state no cancellation is known. Tasks must not be kept alive past the time in which a job
+        // cancelled just before the start has to be gone.
+        !knowsState && elapsed() >= workers.cancel - workers.lease - 3.seconds -> false
+        isolated && mayLetGo() -> letGo.asMap().putIfAbsent(machine, true) != null
+        else -> true
+    }
+
+    /**
+     * A leader elsewhere could answer the worker, and this node must not keep it from that one. Each worker is let
+     * go once in a lease; one that comes back found nobody else and is kept, so that its tasks live on. Only if the lease
+     * outlasts a vain round of the other nodes, each of which may time out.
+     */
+    private fun mayLetGo(): Boolean = workers.lease >= (WORKER_TIMEOUT + 1.seconds) * otherNodes + 1.seconds + workers.report * 1.25
+
+    private companion object {
+        const val MAX_WORKERS = 20_000L
+
+        /** How long a worker waits for an answer, see PROTOCOL. */
+        val WORKER_TIMEOUT = 4.seconds
+    }
+}
--- a/src/main/kotlin/glenspool/api/UserApi.kt
+++ b/src/main/kotlin/glenspool/api/UserApi.kt
@@ -46,6 +46,7 @@
     private val state: StateClient,
     private val replica: Replica,
     private val peers: PeerClient,
+    private val isolated: () -> Boolean,
     private val types: () -> List<MachineType>?,
 ) : HttpHandler {
     private val teams = settings.teams.associateBy { it.name }
@@ -57,6 +58,8 @@
         val path = request.uri.path
         if (path == "/ready" && request.method == Method.GET) return ready()
         val body = request.body.bounded() ?: return error(Status.BAD_REQUEST, "the body is longer than 64 KiB")
+        // Neither the state service nor a peer can be asked: the user is sent elsewhere at once, by a new connection.
+        if (isolated()) return tryLater().header("Connection", "close")
         // Out of the state service's reach, a peer answers sooner than another attempt would time out.
         if (state.failing) relayed(request.method, path, body)?.let { return it }
         return serve(request.method, path, body) ?: relayed(request.method, path, body) ?: tryLater()
@@ -76,9 +79,10 @@
 
     /**
      * A node that listens can take requests: without the state service it passes them on, or tells the user at
-     * once when to come back. Calling it unready would only add the load balancer's pause to an outage's end.
+     * once when to come back. Calling it unready would only add the load balancer's pause to an outage's end. But a
+     * node that has lost the other nodes as well can do nothing for anybody, while they may be well.
      */
-    private fun ready(): Response = cbor(Status.OK, emptyMap())
+    private fun ready(): Response = if (isolated()) tryLater() else cbor(Status.OK, emptyMap())
 
     /** Null: this node can't reach the state service. */
     private fun serve(method: Method, path: String, body: ByteArray): Response? {
@@ -222,6 +226,8 @@
         private const val EPS = 1e-6
         private val SYNC_TIMEOUT = 1500.milliseconds
         private val RELAY_TIMEOUT = 1.seconds
-        private val WRITE_PATIENCE = 1500.milliseconds
+
+        /** A few tries against the state service's rate; then the user is told at once when to come back. */
+        private val WRITE_PATIENCE = 300.milliseconds
     }
 }
--- a/src/main/kotlin/glenspool/api/WorkerApi.kt
+++ b/src/main/kotlin/glenspool/api/WorkerApi.kt
@@ -20,12 +20,12 @@
 import org.http4k.core.Status
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
 /** Takes workers' reports: the leader answers with orders, another node names the leader or keeps the lease. */
 class WorkerApi(private val settings: Settings, private val node: Node, private val loop: CoreLoop) : HttpHandler {
     private val started = TimeSource.Monotonic.markNow()
+    private val keeper = LeaseKeeper(settings.workers, settings.members.size) { started.elapsedNow() }
 
     override fun invoke(request: Request): Response {
         if (request.method != Method.POST) return cbor(Status.METHOD_NOT_ALLOWED, emptyMap())
@@ -38,17 +38,11 @@
         }
         loop.report(report)?.let { return cbor(Status.OK, WorkerWire.answer(it.token, it.commands)) }
         node.leaderToName()?.let { return cbor(MISDIRECTED, WorkerWire.redirect(it)) }
-        if (!mayHold()) return cbor(Status.SERVICE_UNAVAILABLE, emptyMap())
+        if (!keeper.keeps(report.machine, node.replica.age() != null, node.isolated())) return cbor(Status.SERVICE_UNAVAILABLE, emptyMap())
         // Nobody is known to lead. Answering with the worker's own token starts nothing and keeps its tasks alive.
         return cbor(Status.OK, WorkerWire.answer(report.token, stopsOfCancelled(report)))
     }
 
-    /**
-     * A node that has never read the state knows of no cancellations. It must not keep tasks alive past the
-     * time in which a job cancelled just before it started has to be gone.
-     */
-    private fun mayHold(): Boolean = node.replica.age() != null || started.elapsedNow() < settings.workers.cancel - settings.workers.lease - 3.seconds
-
     /** A cancelled job stays cancelled, so any node may have its tasks stopped, with whatever token is in force. */
     private fun stopsOfCancelled(r: Report): List<Command> = r.tasks
         .filter { it.state != TaskState.EXITED && node.replica.get(Keys.cancel(it.key.job)) != null }
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -36,12 +36,8 @@
 import glenspool.worker.WorkerClient
 import org.slf4j.LoggerFactory
 import java.util.concurrent.ArrayBlockingQueue
-import java.util.concurrent.BlockingQueue
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.LinkedBlockingQueue
-import java.util.concurrent.RejectedExecutionException
-import java.util.concurrent.SynchronousQueue
-import java.util.concurrent.ThreadPoolExecutor
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -104,19 +100,11 @@
     var types: List<MachineType>? = null
 
     /** A machine that does not answer holds a thread for seconds, and tens of them may be lost at once. */
-    private val pool = callers("call", 2, MAX_CALLS, SynchronousQueue())
+    private val pool = CallPool("call", MAX_CALLS, QUEUED_CALLS)
 
     /** Questions to silent machines are slow by nature: they must not keep commands from machines that answer. */
-    private val probePool = callers("probe", PROBES, PROBES, LinkedBlockingQueue(MAX_CALLS))
-    private val cloudPool = callers("cloud-call", 3, 3, LinkedBlockingQueue(200))
-
-    private fun callers(name: String, core: Int, most: Int, waiting: BlockingQueue<Runnable>): ThreadPoolExecutor {
-        val pool = ThreadPoolExecutor(core, most, 10, TimeUnit.SECONDS, waiting) { r ->
-            Thread(null, r, name, 192L * 1024).also { it.isDaemon = true }
-        }
-        pool.allowCoreThreadTimeOut(true)
-        return pool
-    }
+    private val probePool = CallPool("probe", PROBES, QUEUED_CALLS)
+    private val cloudPool = CallPool("cloud-call", 3, 200)
 
     fun post(e: Event) {
         // A full queue means that the core is far behind. Waiting here would block the state watch, and losing an
@@ -299,17 +287,16 @@
 
     private fun cloudCall(refused: () -> Unit, body: () -> Unit) = run(cloudPool, refused, body)
 
-    private fun run(on: ThreadPoolExecutor, refused: () -> Unit, body: () -> Unit) {
-        try {
-            on.execute {
-                try {
-                    body()
-                } catch (e: Exception) {
-                    log.error("call failed", e)
-                    refused()
-                }
+    private fun run(on: CallPool, refused: () -> Unit, body: () -> Unit) {
+        val taken = on.run {
+            try {
+                body()
+            } catch (e: Exception) {
+                log.error("call failed", e)
+                refused()
             }
-        } catch (e: RejectedExecutionException) {
+        }
+        if (!taken) {
             log.warn("too many calls at once")
             refused()
         }
@@ -381,9 +368,7 @@
     }
 
     override fun close() {
-        pool.shutdownNow()
-        probePool.shutdownNow()
-        cloudPool.shutdownNow()
+        listOf(pool, probePool, cloudPool).forEach { it.close() }
     }
 
     companion object {
@@ -391,6 +376,7 @@
         private const val QUEUE = 20_000
         private const val MAX_CALLS = 120
         private const val PROBES = 16
+        private const val QUEUED_CALLS = 2000
         private val TICK: Duration = 250.milliseconds
     }
 }
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -33,8 +33,12 @@
 
     @Volatile
     private var peerStatuses: List<PeerStatus> = emptyList()
+
+    /** When the other controllers were last asked in vain, all of them. */
+    @Volatile
+    private var peersLost = false
     private val duties = ArrayList<Thread>()
-    private val userApi = UserApi(settings, state, replica, peers) { loop.knownTypes() }
+    private val userApi = UserApi(settings, state, replica, peers, ::isolated) { loop.knownTypes() }
     private val workerApi = WorkerApi(settings, this, loop)
     private var api: HttpListener? = null
     private var internal: HttpListener? = null
@@ -90,27 +94,43 @@
 
     private fun status() = PeerStatus(settings.node, leadership.current() != null, leadership.recordedLeader(), fresh())
 
+    /**
+     * Whether this node has lost the state service and every other controller, though users and workers may still
+     * reach it. Somebody else may lead then, and nothing that comes here can be decided here.
+     */
+    fun isolated(): Boolean = peersLost && stale()
+
+    private fun stale(): Boolean = replica.age().let { it == null || it > STALE }
+
     private fun watchPeers() {
         while (true) {
-            if (fresh()) {
-                peerStatuses = emptyList()
-            } else {
+            if (stale()) {
                 peerStatuses = peers.statuses()
+                peersLost = peerStatuses.isEmpty() && settings.members.isNotEmpty()
+            } else {
+                peerStatuses = emptyList()
+                peersLost = false
             }
-            Thread.sleep(1000)
+            Thread.sleep(PEER_LOOK.inWholeMilliseconds)
         }
     }
 
     /** The node that workers should report to; null if nobody is known to lead. */
     fun leaderToName(): String? {
-        if (fresh()) return leadership.recordedLeader().takeIf { it != settings.node }
-        return peerStatuses.firstOrNull { it.leading }?.node
+        if (!stale()) return leadership.recordedLeader().takeIf { it != settings.node }
+        val named = peerStatuses.firstOrNull { it.leading }?.node ?: peerStatuses.firstOrNull { it.fresh }?.leader
+        if (named != null) return named.takeIf { it != settings.node }
+        return if (fresh()) leadership.recordedLeader().takeIf { it != settings.node } else null
     }
 
     companion object {
         private val log = LoggerFactory.getLogger(Node::class.java)
         private val FRESH: Duration = 6500.milliseconds
 
+        /** The copy is looked after every second: when it is older, the state service is slow or out of reach. */
+        private val STALE: Duration = 2500.milliseconds
+        private val PEER_LOOK: Duration = 500.milliseconds
+
         /** A peer that stalls in the middle of a request holds one until the server's time limit: there are many. */
         private const val MAX_API_THREADS = 256
         private const val PEER_THREADS = 24
--- /dev/null
+++ b/src/test/kotlin/glenspool/api/LeaseKeeperTest.kt
@@ -0,0 +1,71 @@
+package glenspool.api
+
+import glenspool.config.WorkerSettings
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** For how long a node without a leader keeps workers' leases, in simulated time. */
+class LeaseKeeperTest {
+    private var now = Duration.ZERO
+    private fun keeper(lease: Duration = 24.seconds) = LeaseKeeper(WorkerSettings(4.seconds, lease, 30.seconds, 8.seconds, 49.seconds), 2) { now }
+
+    @Test
+    fun `a node that lost everything but its workers lets each go once, and keeps one that comes back`() {
+        val k = keeper()
+        assertFalse(k.keeps("m1", knowsState = true, isolated = true))
+        assertFalse(k.keeps("m2", knowsState = true, isolated = true))
+        now += 11.seconds
+        // It found nobody else: its tasks must not die.
+        assertTrue(k.keeps("m1", knowsState = true, isolated = true))
+        now += 13.seconds
+        // A leader may be there by now.
+        assertFalse(k.keeps("m1", knowsState = true, isolated = true))
+    }
+
+    @Test
+    fun `the worst round of a worker that was let go ends within its lease`() {
+        val k = keeper()
+        var answered = Duration.ZERO
+        var longest = Duration.ZERO
+        // The other two nodes never answer: 4 s each and 1 s between.
+        while (now < 300.seconds) {
+            now += 5.seconds
+            if (k.keeps("m1", knowsState = true, isolated = true)) {
+                longest = maxOf(longest, now - answered)
+                answered = now
+            } else {
+                now += 11.seconds
+            }
+        }
+        assertTrue(longest in 11.seconds..24.seconds, "$longest without an answer")
+    }
+
+    @Test
+    fun `in an outage that others see too every lease is kept`() {
+        val k = keeper()
+        repeat(50) {
+            now += 4.seconds
+            assertTrue(k.keeps("m1", knowsState = true, isolated = false))
+        }
+    }
+
+    @Test
+    fun `workers are not let go where their lease would not outlast the way round`() {
+        val k = keeper(lease = 12.seconds)
+        assertEquals(List(9) { true }, List(9) { k.keeps("m1", knowsState = true, isolated = true) })
+    }
+
+    @Test
+    fun `a node that never read the state keeps nothing past the time of a cancellation it can't know of`() {
+        val k = keeper()
+        now = 21.seconds
+        assertTrue(k.keeps("m1", knowsState = false, isolated = false))
+        now = 22.seconds
+        assertFalse(k.keeps("m1", knowsState = false, isolated = false))
+        assertTrue(k.keeps("m1", knowsState = true, isolated = false))
+    }
+}
--- a/src/test/kotlin/glenspool/api/UserApiTest.kt
+++ b/src/test/kotlin/glenspool/api/UserApiTest.kt
@@ -50,8 +50,9 @@
     private var types: List<MachineType>? = listOf(bigType)
     private val settings by lazy { SettingsReader().read(File(dir, "s.toml").also { it.writeText(SettingsTest.GOOD) }) }
     private var members = emptyList<Member>()
+    private var cutOff = false
     private val node by lazy {
-        HttpListener(InetSocketAddress("127.0.0.1", 0), "api", 8, UserApi(settings, client, replica, PeerClient(members)) { types })
+        HttpListener(InetSocketAddress("127.0.0.1", 0), "api", 8, UserApi(settings, client, replica, PeerClient(members), { cutOff }) { types })
     }
     private val addr get() = "127.0.0.1:${node.port}"
 
@@ -171,7 +172,7 @@
                 Thread.currentThread().interrupt()
             }
         }
-        val peersApi = UserApi(settings, peersClient, peersReplica, PeerClient(emptyList())) { types }
+        val peersApi = UserApi(settings, peersClient, peersReplica, PeerClient(emptyList()), { false }) { types }
         val peer = HttpListener(InetSocketAddress("127.0.0.1", 0), "peer", 4, PeerServer({ PeerStatus("n1", false, null, true) }, peersApi::local))
         members = listOf(Member("n1", "here", InetSocketAddress("127.0.0.1", peer.port)))
         outside.close()
@@ -184,6 +185,20 @@
         reachable.close()
     }
 
+    @Test
+    fun `a node that can ask nobody sends users elsewhere at once, and is not ready`() {
+        assertEquals(201, submit(spec("run-1")).status)
+        assertEquals(200, (http.get(addr, "/ready", 5.seconds) as CallResult.Answer).status)
+        cutOff = true
+        val asked = state.served
+        assertEquals(503, show("run-1").status)
+        assertEquals(503, submit(spec("run-2")).status)
+        assertEquals(503, (http.get(addr, "/ready", 5.seconds) as CallResult.Answer).status)
+        assertEquals(asked, state.served)
+        cutOff = false
+        assertEquals("pending", show("run-1").body["stage"])
+    }
+
     @Test
     fun `a job of 100,000 tasks is taken`() {
         assertEquals(201, submit(spec("run-1", tasks = 100_000)).status)
--- a/src/test/kotlin/glenspool/standin/StateStandIn.kt
+++ b/src/test/kotlin/glenspool/standin/StateStandIn.kt
@@ -28,6 +28,10 @@
     var down = false
     var opsLimit = 24
 
+    /** Transactions and reads of single keys that came in. */
+    var served = 0
+        private set
+
     /** So many of the next transactions are over the rate. */
     var throttled = 0
 
@@ -71,6 +75,7 @@
     fun serve(r: Request): Response {
         if (down) return reply(503, mapOf("error" to "trouble"))
         val path = r.uri.path
+        if (path != "/follow") served++
         return when {
             path == "/multi" && throttled > 0 -> reply(429, emptyMap()).also { throttled-- }
             path == "/multi" -> multi(Cbor.decodeMap(r.body.stream.readAllBytes()))
