--- a/src/main/kotlin/glenspool/api/LeaseKeeper.kt
+++ b/src/main/kotlin/glenspool/api/LeaseKeeper.kt
@@ -34,6 +34,25 @@
         else -> true
     }
 
+    private var redirected = 0
+    private var redirectSecond = Duration.ZERO
+
+    /**
+     * Whether a worker may be sent to the leader now. When all nodes have just started, all workers come within a
+     * second, and a leader that has yet to warm up would answer none of them in time. A young node sends them on
+     * by and by and keeps their leases meanwhile.
+     */
+    @Synchronized
+    fun sendsOn(): Boolean {
+        val now = elapsed()
+        if (now > workers.lease) return true
+        if (now - redirectSecond >= 1.seconds) {
+            redirectSecond = now
+            redirected = 0
+        }
+        return redirected++ < SENT_ON_EACH_SECOND
+    }
+
     /**
      * A leader elsewhere could answer the worker, and this node must not keep it from that one. Each worker is let
      * go once in a lease; one that comes back found nobody else and is kept, so that its tasks live on. Only if the lease
@@ -43,6 +62,7 @@
 
     private companion object {
         const val MAX_WORKERS = 20_000L
+        const val SENT_ON_EACH_SECOND = 20
 
         /** How long a worker waits for an answer, see PROTOCOL. */
         val WORKER_TIMEOUT = 4.seconds
--- a/src/main/kotlin/glenspool/api/WorkerApi.kt
+++ b/src/main/kotlin/glenspool/api/WorkerApi.kt
@@ -37,9 +37,10 @@
             return cbor(Status.BAD_REQUEST, mapOf("error" to (e.message ?: "malformed")))
         }
         loop.report(report)?.let { return cbor(Status.OK, WorkerWire.answer(it.token, it.commands)) }
-        node.leaderToName()?.let { return cbor(MISDIRECTED, WorkerWire.redirect(it)) }
+        val leader = node.leaderToName()
+        if (leader != null && keeper.sendsOn()) return cbor(MISDIRECTED, WorkerWire.redirect(leader))
         if (!keeper.keeps(report.machine, node.replica.age() != null, node.isolated())) return cbor(Status.SERVICE_UNAVAILABLE, emptyMap())
-        // Nobody is known to lead. Answering with the worker's own token starts nothing and keeps its tasks alive.
+        // Nobody is known to lead, or not to be sent to now. Answering with the worker's own token starts nothing and keeps its tasks alive.
         return cbor(Status.OK, WorkerWire.answer(report.token, stopsOfCancelled(report)))
     }
 
--- a/src/main/kotlin/glenspool/cli/Main.kt
+++ b/src/main/kotlin/glenspool/cli/Main.kt
@@ -74,6 +74,14 @@
 }
 
 private fun serve(args: List<String>): Int {
+    val node = begin(args)
+    Runtime.getRuntime().addShutdownHook(Thread { node.close() })
+    node.join()
+    return 0
+}
+
+/** Starts a controller as `serve` was told; the rehearsal goes the same way. */
+internal fun begin(args: List<String>): Node {
     val options = Options().addOption(Option.builder().longOpt("config").hasArg().required().build())
         .addOption(Option.builder().longOpt("script").hasArg().build())
     val line = DefaultParser().parse(options, args.toTypedArray())
@@ -81,10 +89,8 @@
     val settings = SettingsReader().read(File(line.getOptionValue("config")))
     HttpListener.configure(settings.maxSockets)
     val node = Node(settings, tuning(settings, line.getOptionValue("script")))
-    Runtime.getRuntime().addShutdownHook(Thread { node.close() })
     node.start()
-    node.join()
-    return 0
+    return node
 }
 
 private fun checkConfig(args: List<String>): Int {
--- a/src/main/kotlin/glenspool/cli/Rehearsal.kt
+++ b/src/main/kotlin/glenspool/cli/Rehearsal.kt
@@ -1,17 +1,19 @@
 package glenspool.cli
 
-import glenspool.config.SettingsReader
-import glenspool.controller.Node
-import glenspool.core.Tuning
+import glenspool.config.Member
 import glenspool.http.HttpCaller
 import glenspool.http.HttpListener
 import glenspool.http.cbor
+import glenspool.peer.PeerClient
+import glenspool.peer.RelayRequest
 import glenspool.wire.Cbor
 import org.http4k.core.Method
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
 import java.io.File
+import java.io.OutputStream
+import java.io.PrintStream
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.util.concurrent.atomic.AtomicLong
@@ -35,38 +37,43 @@
     )
 
     fun run(): Int {
+        // What the log would say is made ready too, but nobody needs to read it.
+        System.setErr(PrintStream(OutputStream.nullOutputStream()))
         val outside = HttpListener(InetSocketAddress("127.0.0.1", 0), "canned", 8, ::canned)
         val api = freePort()
         val file = File.createTempFile("rehearsal", ".toml")
         try {
-            file.writeText(settings(api, freePort(), outside.port))
-            Node(SettingsReader().read(file), Tuning()).use { node ->
-                node.start()
-                play("127.0.0.1:$api")
+            val internal = freePort()
+            file.writeText(settings(api, internal, outside.port))
+            begin(listOf("--config", file.path)).use {
+                play("127.0.0.1:$api", "127.0.0.1:${outside.port}")
+                val itself = PeerClient(listOf(Member("itself", "here", InetSocketAddress("127.0.0.1", internal))))
+                itself.statuses()
+                itself.relay(RelayRequest("GET", "/api/jobs/run-000001", ByteArray(0)), 2.seconds)
             }
         } finally {
             outside.close()
-            if (!file.delete()) System.err.println("glenspool: ${file.path} is left over")
+            file.deleteOnExit()
         }
         return 0
     }
 
-    private fun play(addr: String) {
+    private fun play(addr: String, worker: String) {
         val http = HttpCaller(500.milliseconds)
         Thread.sleep(700)
         http.post(addr, "/api/jobs", job, 2.seconds)
         for (n in 1L..4L) {
             http.get(addr, "/ready", 2.seconds)
             http.get(addr, "/api/jobs/run-000001", 2.seconds)
-            http.post(addr, "/checkin", report(n), 2.seconds)
+            http.post(addr, "/checkin", report(n, worker), 2.seconds)
             Thread.sleep(300)
         }
         http.post(addr, "/api/jobs/run-000001/withdraw", emptyMap(), 2.seconds)
         http.call("POST", addr, "/api/jobs", byteArrayOf(1), 2.seconds)
     }
 
-    private fun report(n: Long): Map<String, Any?> = mapOf(
-        "spindle" to "i-1", "addr" to "127.0.0.1:9", "frame" to "any", "hall" to "here", "loaners" to false, "shift" to 1L, "stitch" to n,
+    private fun report(n: Long, addr: String): Map<String, Any?> = mapOf(
+        "spindle" to "i-1", "addr" to addr, "frame" to "any", "hall" to "here", "loaners" to false, "shift" to 1L, "stitch" to n,
         "baton" to 1L, "recall_s" to null,
         "threads" to listOf(mapOf("thread" to "run-000001/0", "try" to 1, "stage" to if (n < 3) "running" else "ended", "cause" to "done")),
     )
@@ -81,6 +88,7 @@
             path == "/follow" -> mapOf("ledger" to ledger.get(), "log" to changes())
             path == "/store" -> mapOf("rows" to emptyList<Any>(), "has_next" to false, "ledger" to 0)
             path.startsWith("/store/") -> return cbor(Status.NOT_FOUND, mapOf("ledger" to ledger.get()))
+            path == "/do" || path == "/show" -> report(ledger.get() + 100, "127.0.0.1:9")
             else -> emptyMap()
         }
         if (r.method == Method.POST) Cbor.decodeMap(r.body.stream.readAllBytes())
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -15,7 +15,7 @@
 import glenspool.state.StateClient
 import glenspool.worker.WorkerClient
 import org.slf4j.LoggerFactory
-import java.security.SecureRandom
+import java.util.concurrent.ThreadLocalRandom
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -26,7 +26,12 @@
     private val cloud = CloudClient(settings.cloud.hostPort(), http, settings.cloudLimits.rps)
     private val workers = WorkerClient(http)
     private val peers = PeerClient(settings.members)
-    private val boot = java.lang.Long.toHexString(SecureRandom().nextLong())
+
+    /**
+     * Differs from that of any earlier process on this host, however soon it is back: the start's time is part of it.
+     * It is no secret; a secure generator would cost a tenth of the start-up.
+     */
+    private val boot = "${wallClock().inWholeMilliseconds}-${java.lang.Long.toHexString(ThreadLocalRandom.current().nextLong())}"
     val replica = Replica(state, settings.stateLimits.rps) { changes, _ -> loop.post(Event.Changes(changes)) }
     val leadership = Leadership(settings.node, boot, state, replica, { loop.post(Event.Elected(it)) }, { loop.post(Event.Deposed) })
     private val loop: CoreLoop = CoreLoop(settings, tuning, replica, leadership, state, cloud, workers)
--- a/src/main/kotlin/glenspool/core/cluster/Watch.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Watch.kt
@@ -25,10 +25,13 @@
     private var others = 0
     private var fresh = 0
     private var reached = 0
+    private var probesLeft = 0
     private var muted = 0
 
     fun look() {
         count()
+        // A new leader has all machines to ask at once, and has yet to warm up.
+        probesLeft = PROBES + core.machines.size / FLEET_PER_PROBE
         for (m in core.machines.values.toList()) watch(m)
         checkControls()
         if (resigned) return
@@ -56,9 +59,9 @@
             if (m.mutedSince != null) muted++
             val r = m.reachedAt
             if (r != null && now - r <= recent) reached++
-            val h = m.heard ?: continue
+            if (m.booting && !m.everHeard) continue
             others++
-            if (now - h <= recent) fresh++
+            if (m.heard.let { it != null && now - it <= recent }) fresh++
         }
     }
 
@@ -97,12 +100,15 @@
         val limit = if (m.missingSince.let { it != null && now - it > config.listLag * 2 + 2.seconds } && m.listed) config.report * 2.5 else silence
         // Silence for two leases is given up in any case: if most machines are really lost, waiting would never end.
         if (quiet > limit && (mostAreHeard(m) || quiet > config.lease * 2)) {
-            if (!m.everHeard && m.addr.isEmpty() && now - core.startedAt < config.listLag * 2 + 2.seconds) return
+            // A worker may need most of its lease to find a new leader: each dead node costs it a time-out. Until
+            // then only questions without an answer show that the machine itself is lost.
+            if (!m.everHeard && quiet <= config.lease && m.mutedSince.let { it == null || now - it < UNANSWERED_TWICE }) return
             delete(m, "silent")
         }
     }
 
     private fun probe(m: Machine) {
+        if (probesLeft-- <= 0) return
         m.probeAt = now + maxOf(2.seconds, config.report)
         core.act(Probe(m.id, m.addr))
     }
@@ -122,7 +128,7 @@
 
     /** A cut or a stall on our own side makes every machine look silent: then none is given up. */
     private fun mostAreHeard(but: Machine): Boolean {
-        val rest = others - (if (but.everHeard) 1 else 0)
+        val rest = others - 1
         if (rest <= 0) return now - core.startedAt > config.lease * 2
         return fresh * 2 > rest
     }
@@ -194,9 +200,14 @@
     private companion object {
         const val DEAF_MACHINES = 3
         const val MAX_CONTROLS = 6
+        const val PROBES = 4
+        const val FLEET_PER_PROBE = 100
         const val MAX_DELETE = 100
         val DELETE_GAP = 400.milliseconds
 
+        /** Longer than the pause between two questions, so that one slow answer is not taken for a lost machine. */
+        val UNANSWERED_TWICE = 2500.milliseconds
+
         /** What a new leader needs to have its stops carried out before it judges. */
         val STOP_TIME = 6.seconds
     }
