Room made for a gang is kept for it; a node without its lease judges nothing; images decide among jobs next in order

Machines where work was stopped for a gang are now reserved for it. (3) The second pass of a round gave a freed place to the first job in order although a job next to it had its image there. Ruled out: more patience before stopping work for gangs (they wait for whole machines, which never empty by themselves).

--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -136,7 +136,9 @@
             val e = queue.poll(wait, TimeUnit.MILLISECONDS)
             if (e != null) handle(e)
             if (clock.elapsedNow() >= nextTick) {
-                step { tick() }
+                // Cut off from the state service, another node may lead by now: what this core would conclude from
+                // its old picture, and from machines that obey somebody else, is worth nothing.
+                if (session.let { it != null && leadership.current() == it.term }) step { tick() }
                 nextTick = clock.elapsedNow() + TICK
             }
         }
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -442,7 +442,7 @@
 
     /** Where a start of the job may still arrive late, another attempt of it would only meet that one. */
     override fun avoids(job: Job, machine: Machine): Boolean =
-        machine.id in job.failedOn && job.failedOn.size < 4 || machine.loose.any { it.key.job == job.spec.id }
+        machine.id in job.failedOn && job.failedOn.size < 4 || machine.loose.any { it.key.job == job.spec.id } || machine.reservedAgainst(job, now)
 
     override fun misfit(job: Job, machine: Machine): Int = if (job.spec.spot && !machine.spot) 1 else 0
 
--- a/src/main/kotlin/glenspool/core/cluster/Machine.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Machine.kt
@@ -42,6 +42,19 @@
     /** Gets no more short work, so that it becomes empty and can be returned. */
     var retiring = false
     var idleSince: Duration? = null
+
+    /** A gang for which work was stopped here; nothing of its rank or below takes the room before it or that time. */
+    var reservedFor: Job? = null
+    var reservedUntil: Duration = Duration.ZERO
+
+    fun reservedAgainst(job: Job, now: Duration): Boolean {
+        val owner = reservedFor ?: return false
+        if (now >= reservedUntil || owner.cancelled || owner.finished || owner.placements.isNotEmpty()) {
+            reservedFor = null
+            return false
+        }
+        return owner !== job && job.rank <= owner.rank
+    }
     var age: Duration = Duration.ZERO
 
     private val placed = LinkedHashMap<TaskKey, Placement>()
--- a/src/main/kotlin/glenspool/core/placement/RoomMaker.kt
+++ b/src/main/kotlin/glenspool/core/placement/RoomMaker.kt
@@ -85,16 +85,25 @@
                 val zones = if (job.spec.sameZone) usable.groupBy { it.zone }.values else listOf(usable)
                 usable = zones.maxByOrNull { z -> z.sumOf { possibleRoom(it, job) } } ?: continue
                 if (usable.sumOf { possibleRoom(it, job) } < n) continue
+                // What was stopped for it before comes first, so that no more is stopped than it needs.
+                usable = usable.sortedBy { it.reservedFor !== job }
             }
             for (m in usable) {
                 if (n <= 0) break
-                n -= makeRoomOn(m, job, claimed, n)
+                val made = makeRoomOn(m, job, claimed, n)
+                n -= made
+                if (whole && made > 0) {
+                    // Or the next round would give the room to the very work that was stopped.
+                    m.reservedFor = job
+                    m.reservedUntil = core.now + RESERVED
+                }
             }
         }
     }
 
     private fun allowed(job: Job, m: Machine) = mayUse(job.spec, m) &&
         !core.avoids(job, m) &&
+        !m.reservedAgainst(job, core.now) &&
         zoneAllows(job, m.zone, core::zoneOf)
 
     private fun makeRoomOn(m: Machine, job: Job, claimed: HashMap<Machine, Amount>, wanted: Int): Int {
@@ -136,5 +145,8 @@
 
         /** The same where the lower work saves first. */
         val ROOM_PATIENCE_SAVING = 7.seconds
+
+        /** Longer than work takes to save and its end to be reported; renewed while the gang waits. */
+        val RESERVED = 10.seconds
     }
 }
--- a/src/main/kotlin/glenspool/core/placement/Round.kt
+++ b/src/main/kotlin/glenspool/core/placement/Round.kt
@@ -191,29 +191,39 @@
         }
     }
 
-    /** Gives the machine one task. In the first pass only if no other machine suits the task better. */
+    /**
+     * Gives the machine one task. In the first pass only if no other machine suits the task better; in the second,
+     * of the jobs next in order, one whose image is here goes first, since each needless fetch keeps room from work.
+     */
     private fun matchOne(m: Machine, jobs: MutableList<Job>, preferredOnly: Boolean): Boolean {
         val room = free.getValue(m)
+        var chosen: Job? = null
+        var passed = 0
         val each = jobs.iterator()
         while (each.hasNext()) {
             val job = each.next()
             // What no machine can do for the job now, no later draw of this round can.
-            if (job.waitingCount() <= 0 || view.teamRoom(job) <= 0 || view.recordRoom(job) <= 0) {
+            if (job.waitingCount() <= 0 || view.teamRoom(job) <= 0 || view.recordRoom(job) <= 0 || job.waiting(1).isEmpty()) {
                 each.remove()
                 continue
             }
             if (!fits(job, m, room)) continue
-            if (preferredOnly && !preferred(job, m)) continue
-            val task = job.waiting(1).firstOrNull()
-            if (task == null) {
-                each.remove()
-                continue
+            if (preferredOnly) {
+                if (!preferred(job, m)) continue
+                chosen = job
+                break
             }
-            view.place(job, task, m, null)
-            take(m, job)
-            return true
+            if (chosen == null) chosen = job
+            if (m.hasImage(job.spec.image)) {
+                chosen = job
+                break
+            }
+            if (++passed >= LOOK_AHEAD) break
         }
-        return false
+        val job = chosen ?: return false
+        view.place(job, job.waiting(1).first(), m, null)
+        take(m, job)
+        return true
     }
 
     private fun fits(job: Job, m: Machine, room: Amount): Boolean =
@@ -279,4 +289,9 @@
         if (m.slowness > 1.5) s += 400
         return s
     }
+
+    private companion object {
+        /** So many jobs without their image here may be passed over for one that has it. */
+        const val LOOK_AHEAD = 6
+    }
 }
