The added rules as tests: one-way machines, late copies, a leader apart, restarts, starvation, a thousand machines

The stand-ins learn four troubles (reports that arrive while nothing reaches the machine, late copies of reports, a leader apart with its workers, machines that are back at once and count anew) and check every answer a user could get.

A thousand machines and thousands of jobs are played by counts: a report costs the same as on a hundred machines, places and ends cost a fraction of a stored change each, critical places are stored first.

--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -69,6 +69,7 @@
     var now = startedAt
         private set
     private var wall = Duration.ZERO
+    override val effort = Effort()
     private val teams = config.teams.associateBy { it.name }
     private val usage = HashMap<String, Amount>()
     private val actions = ArrayList<Action>()
@@ -348,6 +349,7 @@
     private fun round() {
         lastRound = now
         dirtyRound = false
+        effort.rounds++
         if (types.isEmpty()) return
         val open = jobs.values.filter { it.waitingCount() > 0 && it.notBefore.let { b -> b == null || now >= b } && it.waiting(1).isNotEmpty() }
         if (open.isNotEmpty()) {
--- a/src/main/kotlin/glenspool/core/cluster/Evidence.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Evidence.kt
@@ -53,11 +53,11 @@
         m.notice = r.notice
         m.reported = r.tasks
         // Until the worker has seen this leader's token, commands of an earlier leader may still be carried out:
-        // such a report shows what is there, but not what will not be.
-        if (r.token >= startToken && !m.trusted) {
-            m.trusted = true
-            core.wantRound()
-        }
+        // such a report shows what is there, but not what will not be. A worker that began anew has forgotten the
+        // token, so it is this report's that counts, not the highest that the machine ever showed.
+        val trusted = r.token >= startToken
+        if (trusted && !m.trusted) core.wantRound()
+        m.trusted = trusted
         digest(m, r)
         return m
     }
--- a/src/main/kotlin/glenspool/core/cluster/Orders.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Orders.kt
@@ -42,6 +42,7 @@
         val each = pending.iterator()
         while (each.hasNext()) {
             val m = each.next()
+            core.effort.orderLooks++
             if (m.orders.isEmpty() || m.deleting) {
                 each.remove()
                 continue
--- a/src/main/kotlin/glenspool/core/lifecycle/Storing.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Storing.kt
@@ -51,6 +51,7 @@
         val each = dirty.iterator()
         while (each.hasNext()) {
             val job = each.next()
+            core.effort.storeLooks++
             val u = urgency(job)
             if (u == null) {
                 if (!job.writing) each.remove()
--- a/src/main/kotlin/glenspool/core/placement/Round.kt
+++ b/src/main/kotlin/glenspool/core/placement/Round.kt
@@ -1,5 +1,6 @@
 package glenspool.core.placement
 
+import glenspool.core.Effort
 import glenspool.core.cluster.Machine
 import glenspool.core.cluster.allowed
 import glenspool.core.cluster.zoneAllows
@@ -24,6 +25,7 @@
     val types: Map<String, MachineType>
     val commonType: MachineType?
     val factor: Double
+    val effort: Effort
 
     fun zoneOf(machine: String): String?
 
@@ -268,6 +270,7 @@
     }
 
     private fun score(job: Job, m: Machine): Int {
+        view.effort.scores++
         val fastest = view.fastestType(job.spec.jobClass)
         var s = if (fastest == null || m.type == fastest) 0 else 1000
         s += if (m.hasImage(job.spec.image)) {
--- a/src/test/kotlin/glenspool/core/GuardsTest.kt
+++ b/src/test/kotlin/glenspool/core/GuardsTest.kt
@@ -8,6 +8,8 @@
 import glenspool.core.model.JobKind
 import glenspool.core.model.JobRecord
 import glenspool.core.model.JobSpec
+import glenspool.core.model.ListedMachine
+import glenspool.core.model.MachineStage
 import glenspool.core.model.Priority
 import glenspool.core.model.Report
 import glenspool.core.model.ReportedTask
@@ -365,6 +367,184 @@
         assertFalse(core.jobs.getValue("bad").complete)
     }
 
+    /** Reports of the machines keep coming; requests to [unreached] end without an answer, others are answered. */
+    private fun live(d: Duration, running: Map<String, ReportedTask>, unreached: Set<String>): List<Action> {
+        val all = ArrayList<Action>()
+        val end = now + d
+        while (now < end) {
+            for ((m, t) in running) if (m in core.machines) all += say(report(m, listOf(t))).second
+            val acts = wait(2.seconds)
+            all += acts
+            for (a in acts) {
+                when (a) {
+                    is Probe -> if (a.machine in running ||
+                        a.machine in unreached
+                    ) {
+                        step { probed(a.machine, running[a.machine]?.takeIf { a.machine !in unreached }?.let { report(a.machine, listOf(it)) }) }
+                    }
+                    is Direct -> {
+                        val out = a.machine in unreached
+                        val answer = if (out) null else report(a.machine, listOfNotNull(running[a.machine]))
+                        step { directEnded(a.machine, a, if (out) DirectOutcome.UNKNOWN else DirectOutcome.DONE, answer) }
+                    }
+                    else -> Unit
+                }
+            }
+        }
+        return all
+    }
+
+    @Test
+    fun `a machine that is heard but not reached gets no work, and is given up while others are reached`() {
+        val running = busy(4)
+        val lost = running.keys.first()
+        step { probed(lost, null) }
+        assertFalse(core.machines.getValue(lost).ready(now, 60.seconds))
+        val actions = live(16.seconds, running, setOf(lost))
+        assertEquals(listOf(lost), actions.filterIsInstance<Delete>().flatMap { it.machines }.distinct())
+    }
+
+    @Test
+    fun `a machine that is reached again gets work again`() {
+        val running = busy(2)
+        val m = running.keys.first()
+        step { probed(m, null) }
+        assertFalse(core.machines.getValue(m).ready(now, 60.seconds))
+        step { probed(m, null, asked = false) }
+        live(6.seconds, running, emptySet())
+        assertTrue(core.machines.getValue(m).ready(now, 60.seconds))
+    }
+
+    @Test
+    fun `a way out that is cut for all condemns no machine, and the leader gives way`() {
+        val running = busy(5)
+        running.keys.forEach { m -> step { probed(m, null) } }
+        val actions = live(30.seconds, running, running.keys)
+        assertTrue(actions.none { it is Delete })
+        assertTrue(actions.any { it is Resign })
+    }
+
+    @Test
+    fun `cancelled work on a machine that is heard but not reached is gone in time`() {
+        val running = busy(1)
+        val m = running.keys.single()
+        step { jobCancelled("a", ++revision, now) }
+        val told = now
+        var deletedAt: Duration? = null
+        while (deletedAt == null && now - told < core.config.cancel) {
+            if (live(2.seconds, running, setOf(m)).any { it is Delete }) deletedAt = now
+        }
+        assertTrue(deletedAt != null && deletedAt - told < core.config.cancel * 0.9, "$deletedAt")
+    }
+
+    @Test
+    fun `a copy of a report renews no evidence, not even with the newest number`() {
+        started()
+        val last = report("m1")
+        say(last)
+        val heard = core.machines.getValue("m1").heard
+        now += 3.seconds
+        say(last)
+        say(last.copy(seq = last.seq - 1))
+        assertEquals(heard, core.machines.getValue("m1").heard)
+    }
+
+    @Test
+    fun `a copy of a report does not bring a deleted machine back, nor make a new leader use it`() {
+        started()
+        val last = report("m1")
+        say(last)
+        step { deletionEnded(listOf("m1"), true) }
+        say(last.copy(seq = last.seq + 5))
+        assertTrue("m1" !in core.machines)
+        // The next leader does not remember the deletion; but the copy can't show its token.
+        val next = Scheduler(config(), TOKEN + 1, now)
+        val actions = next.step(now, now) {
+            typesKnown(listOf(bigType))
+            reported(last)
+            jobStored(JobRecord(job("a", JobKind.SERVICE, priority = Priority.CRITICAL), now, 0, BitSet(), emptyList()), 1)
+        } + next.step(now + 2.seconds, now + 2.seconds) { tick() }
+        assertTrue(next.jobs.getValue("a").placements.isEmpty())
+        // Nor is it counted as a machine that will soon be there.
+        val later = (3..8).flatMap { n -> next.step(now + n.seconds, now + n.seconds) { tick() } }
+        assertTrue((actions + later).any { it is Rent })
+    }
+
+    @Test
+    fun `a worker that forgot the token proves nothing gone, whatever its count`() {
+        // It began anew: commands of an earlier leader that are still on their way would be carried out again.
+        commanded().let { d -> step { directEnded("m1", d, DirectOutcome.DONE, report("m1", listOf(task("a", 0, 1, TaskState.RUNNING)))) } }
+        say(report("m1", token = 0))
+        assertEquals("m1", core.jobs.getValue("a").placements.getValue(0).machine)
+        say(report("m1"))
+        wait(1.seconds)
+        assertTrue(core.jobs.getValue("a").placements.values.none { it.attempt == 1L })
+    }
+
+    @Test
+    fun `a machine that is back at once and counts anew is not believed, and is given up`() {
+        val running = busy(4)
+        val m = running.keys.first()
+        val others = running - m
+        val deleted = ArrayList<Action>()
+        repeat(10) { n ->
+            deleted += live(2.seconds, others, emptySet())
+            say(report(m).copy(session = 1, seq = n.toLong() % 3))
+        }
+        assertEquals(1, core.jobs.getValue("a").placements.values.count { it.machine == m })
+        assertEquals(listOf(m), deleted.filterIsInstance<Delete>().flatMap { it.machines }.distinct())
+    }
+
+    @Test
+    fun `a new leader does not take workers that are still looking for it for lost machines`() {
+        step { typesKnown(listOf(bigType)) }
+        val machines = (1..6).map { "m$it" }
+        submit(job("a", tasks = 6), machines.mapIndexed { i, m -> Intent(i, i + 1L, m) }, last = 6)
+        step { listed(machines.map { ListedMachine(it, "addr-$it", "big", "a", false, MachineStage.RUNNING, 100.seconds) }) }
+        val all = ArrayList<Action>()
+        val first = machines.take(4).associateWith { m -> task("a", m.drop(1).toInt() - 1, m.drop(1).toLong(), TaskState.RUNNING) }
+        // Four have found it and vouch for nothing: the others may be held by nodes that have just started.
+        repeat(6) { all += live(2.seconds, first, emptySet()) }
+        assertTrue(all.none { it is Delete })
+        // But a question without an answer, twice, shows that a machine is lost.
+        step { probed("m6", null) }
+        repeat(2) { all += live(2.seconds, first, setOf("m6")) }
+        assertEquals(listOf("m6"), all.filterIsInstance<Delete>().flatMap { it.machines }.distinct())
+    }
+
+    @Test
+    fun `lost machines are deleted with few calls`() {
+        val running = busy(40)
+        val lost = running.keys.take(15).toSet()
+        val deletes = live(16.seconds, running - lost, lost).filterIsInstance<Delete>()
+        assertEquals(lost, deletes.flatMap { it.machines }.toSet())
+        assertTrue(deletes.size <= 4, "${deletes.size} calls")
+    }
+
+    @Test
+    fun `work that is stopped for a gang does not get its room back`() {
+        started(2)
+        submit(job("small", tasks = 2, need = Amount(14.0, 4.0, 50.0)))
+        wait(1.seconds)
+        val running = confirm().filterIsInstance<Direct>().associate { d -> d.machine to d.commands.filterIsInstance<StartTask>().single() }
+        for ((m, c) in running) {
+            val sent = Direct(m, "addr-$m", TOKEN, 1, listOf(c))
+            step { directEnded(m, sent, DirectOutcome.DONE, report(m, listOf(task("small", c.key.task, c.attempt, TaskState.RUNNING)))) }
+        }
+        submit(job("more", tasks = 8, need = Amount(14.0, 4.0, 50.0)))
+        submit(job("gang", JobKind.GANG, 2, Amount(14.0, 4.0, 50.0), priority = Priority.URGENT))
+        assertEquals(2, wait(1.seconds).filterIsInstance<Direct>().flatMap { it.commands }.count { it is StopTask })
+        // One machine is free before the other: it must wait for the gang, not take another small task.
+        val (m, c) = running.entries.first()
+        say(report(m, listOf(task("small", c.key.task, c.attempt, TaskState.EXITED, Exit.STOPPED))))
+        wait(2.seconds)
+        assertTrue(core.machines.getValue(m).placements.isEmpty())
+        val (m2, c2) = running.entries.last()
+        say(report(m2, listOf(task("small", c2.key.task, c2.attempt, TaskState.EXITED, Exit.STOPPED))))
+        wait(2.seconds)
+        assertEquals(2, core.jobs.getValue("gang").placements.size)
+    }
+
     companion object {
         private const val TOKEN = 5L
     }
--- /dev/null
+++ b/src/test/kotlin/glenspool/core/LargeFleetTest.kt
@@ -0,0 +1,140 @@
+package glenspool.core
+
+import glenspool.core.model.Amount
+import glenspool.core.model.Exit
+import glenspool.core.model.JobKind
+import glenspool.core.model.JobRecord
+import glenspool.core.model.Priority
+import glenspool.core.model.Report
+import glenspool.core.model.ReportedTask
+import glenspool.core.model.StartTask
+import glenspool.core.model.TaskKey
+import glenspool.core.model.TaskState
+import glenspool.standin.bigType
+import glenspool.standin.config
+import glenspool.standin.job
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.BitSet
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A thousand machines and thousands of jobs, by counts: what an event costs must not grow with either. */
+class LargeFleetTest {
+    private val core = Scheduler(config(), 5, Duration.ZERO)
+    private var now = Duration.ZERO
+    private var revision = 10L
+    private val seqs = HashMap<String, Long>()
+    private val on = HashMap<String, HashMap<TaskKey, ReportedTask>>()
+    private var writes = 0
+    private var transactions = 0
+    private var started = 0
+
+    private fun report(m: String): Report = Report(
+        m, "addr-$m", "big", if (m.hashCode() % 2 == 0) "a" else "b", false, 1, seqs.merge(m, 1, Long::plus) ?: 1, 5, null, on[m]?.values?.toList().orEmpty(),
+    )
+
+    private fun step(body: Scheduler.() -> Unit) {
+        val pending = ArrayDeque(core.step(now, now, body))
+        while (true) {
+            when (val a = pending.removeFirstOrNull() ?: return) {
+                is Store -> {
+                    transactions++
+                    writes += a.writes.sumOf { w -> if (w is FinishJob) 2 else 1 }
+                    pending.addAll(core.step(now, now) { stored(StoreOutcome.Stored(++revision)) })
+                }
+                is Direct -> {
+                    for (c in a.commands) {
+                        if (c !is StartTask) continue
+                        started++
+                        on.getOrPut(a.machine) { HashMap() }[c.key] = ReportedTask(c.key, c.attempt, TaskState.RUNNING, null, false)
+                    }
+                    pending.addAll(core.step(now, now) { directEnded(a.machine, a, DirectOutcome.DONE, report(a.machine)) })
+                }
+                else -> Unit
+            }
+        }
+    }
+
+    private fun fleet(machines: Int, jobs: Int) {
+        step { typesKnown(listOf(bigType)) }
+        for (i in 1..machines) step { reported(report("m$i")) }
+        // Tasks as large as a quarter of a machine, and twice as many of them as there are places.
+        for (j in 1..jobs) {
+            val spec = job("j$j", tasks = 8, need = Amount(4.0, 1.0, 16.0), image = "i${j % 7}", priority = Priority.entries[j % 2], estimate = 100.seconds)
+            step { jobStored(JobRecord(spec, now, 0, BitSet(), emptyList()), ++revision) }
+        }
+        repeat(120) {
+            now += 250.milliseconds
+            if (it % 4 == 0) on.keys.toList().forEach { m -> step { reported(report(m)) } }
+            step { tick() }
+        }
+    }
+
+    /** What reports cost that say nothing new. */
+    private fun effortOfReports(machines: Int, jobs: Int): Long {
+        fleet(machines, jobs)
+        val before = core.effort.total
+        val rounds = core.effort.rounds
+        repeat(100) { step { reported(report("m${it + 1}")) } }
+        assertEquals(rounds, core.effort.rounds, "a report that says nothing new starts no round")
+        return core.effort.total - before
+    }
+
+    @Test
+    fun `a report costs the same on a hundred machines and on a thousand`() {
+        val small = effortOfReports(100, 100)
+        val large = LargeFleetTest().effortOfReports(1000, 1000)
+        assertTrue(large <= small + 100, "$small with 100 machines, $large with 1,000")
+    }
+
+    @Test
+    fun `placing a full fleet scores each job's machines about once, and stores each job about once`() {
+        fleet(1000, 1000)
+        assertEquals(4000, started)
+        assertTrue(core.effort.scores / started < 1500, "${core.effort.scores} scores for $started places")
+        assertTrue(writes < started / 4, "$writes stored changes for $started places")
+    }
+
+    @Test
+    fun `tasks that end cost a fraction of a stored change each`() {
+        fleet(1000, 1000)
+        val before = writes
+        val startedBefore = started
+        var ended = 0
+        repeat(60) {
+            now += 500.milliseconds
+            for (m in on.keys.toList().filterIndexed { i, _ -> i % 60 == it }) {
+                for ((k, t) in on.getValue(m).toMap()) {
+                    if (t.exit != null) continue
+                    on.getValue(m)[k] = t.copy(state = TaskState.EXITED, exit = Exit.DONE)
+                    ended++
+                }
+                step { reported(report(m)) }
+                on.getValue(m).values.removeIf { it.exit != null }
+            }
+            step { tick() }
+        }
+        val changes = writes - before
+        assertTrue(ended > 3900 && started - startedBefore > 3000, "$ended ended, ${started - startedBefore} started")
+        assertTrue(changes < (ended + started - startedBefore) * 0.4, "$changes stored changes for $ended ended and ${started - startedBefore} started tasks")
+    }
+
+    @Test
+    fun `critical work is stored before a backlog of results`() {
+        fleet(200, 300)
+        for (m in on.keys.toList()) {
+            on.getValue(m).replaceAll { _, t -> t.copy(state = TaskState.EXITED, exit = Exit.DONE) }
+            core.step(now, now) { reported(report(m)) }
+        }
+        now += 3.seconds
+        core.step(now, now) {
+            jobStored(JobRecord(job("s", JobKind.SERVICE, 2, priority = Priority.CRITICAL), now, 0, BitSet(), emptyList()), ++revision)
+        }
+        // One transaction was on its way; the next begins with what somebody waits for.
+        val store = core.step(now, now) { stored(StoreOutcome.Stored(++revision)) }.filterIsInstance<Store>().single()
+        assertEquals("s", store.writes.first().id)
+    }
+}
--- a/src/test/kotlin/glenspool/core/RoundModelTest.kt
+++ b/src/test/kotlin/glenspool/core/RoundModelTest.kt
@@ -29,6 +29,7 @@
         override val types = listOf(bigType, leanType).associateBy { it.name }
         override val commonType = bigType
         override val factor = 2.0
+        override val effort = Effort()
         val placed = ArrayList<Triple<Job, Int, Machine>>()
         val all = ArrayList<Machine>()
 
--- a/src/test/kotlin/glenspool/core/WorldTest.kt
+++ b/src/test/kotlin/glenspool/core/WorldTest.kt
@@ -100,6 +100,25 @@
         play(seed, Weather(lost = 0.05, held = 0.08, takeovers = 0.03, outages = 0.02, cuts = 0.02, hangs = 0.02, deaths = 0.01))
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = [51, 52, 53, 54, 55, 56])
+    fun `machines that are heard but not reached break no rule`(seed: Long) {
+        play(seed, Weather(oneWay = 0.05, lost = 0.03, takeovers = 0.01))
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [61, 62, 63, 64, 65, 66])
+    fun `late copies of reports and machines that restart break no rule`(seed: Long) {
+        play(seed, Weather(copies = 0.3, deaths = 0.02, restarts = 0.02, cuts = 0.02, takeovers = 0.02))
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [71, 72, 73, 74, 75, 76])
+    fun `a leader apart with its workers breaks no rule, alone and with everything else`(seed: Long) {
+        val alone = Weather(apart = 0.03)
+        play(seed, if (seed % 2 == 0L) alone else alone.copy(lost = 0.05, held = 0.05, copies = 0.1, oneWay = 0.02, outages = 0.01, hangs = 0.02, restarts = 0.01))
+    }
+
     @Test
     fun `the same seed gives the same day`() {
         val weather = Weather(lost = 0.05, held = 0.05, takeovers = 0.02, deaths = 0.01)
--- a/src/test/kotlin/glenspool/standin/World.kt
+++ b/src/test/kotlin/glenspool/standin/World.kt
@@ -53,6 +53,14 @@
     val takeovers: Double = 0.0,
     val outages: Double = 0.0,
     val notices: Double = 0.0,
+    /** Machines whose reports arrive while no answer and no command reaches them. */
+    val oneWay: Double = 0.0,
+    /** Reports that arrive once more, seconds to well over a lease later. */
+    val copies: Double = 0.0,
+    /** The leader loses the state service and the other nodes, but keeps its workers and answers them. */
+    val apart: Double = 0.0,
+    /** Machines that are back within a fraction of a second, empty and counting from the beginning. */
+    val restarts: Double = 0.0,
 )
 
 /**
@@ -60,7 +68,7 @@
  * the core can break. Messages may be lost or held back for minutes; leaders are replaced while their commands
  * and transactions are still on their way.
  */
-class World(seed: Long, private val config: SchedulerConfig, private val types: List<MachineType>, private val weather: Weather) {
+class World(seed: Long, private val config: SchedulerConfig, private val types: List<MachineType>, private val weather: Weather, private val maxMachines: Int = 24) {
     private val random = Random(seed)
     private class Timed(val at: Duration, val order: Long, val body: () -> Unit)
 
@@ -81,6 +89,10 @@
     val violations = ArrayList<String>()
     var starts = 0
 
+    /** When the first task of each job was started. */
+    val firstStart = HashMap<String, Duration>()
+    private val told = HashMap<String, String>()
+
     private inner class Worker(val id: String, val type: MachineType, val zone: String, val spot: Boolean) {
         var session = 1L
         var seq = 0L
@@ -90,6 +102,13 @@
         var gone = false
         var cutUntil = Duration.ZERO
         var hungUntil = Duration.ZERO
+        var unreachedUntil = Duration.ZERO
+
+        /** Until then another node, which does not lead, answers its reports with its own token. */
+        var keptUntil = Duration.ZERO
+
+        /** Counts restarts: what was on its way to the machine before is lost with its connections. */
+        var life = 0
         var answered = now
         var recallAt: Duration? = null
         val images = HashSet<String>()
@@ -201,7 +220,7 @@
             is Probe -> {
                 val w = workers[a.machine]
                 after(delay()) {
-                    val r = if (w != null && reachable(w)) w.report() else null
+                    val r = if (w != null && reachable(w) && now >= w.unreachedUntil) w.report() else null
                     ifLeading(s) { probed(a.machine, r) }
                 }
             }
@@ -271,7 +290,7 @@
     private fun rent(a: Rent, s: Scheduler) {
         after(delay() * 10) {
             val names = requests[a.request] ?: run {
-                val n = if (workers.size >= MAX_MACHINES) {
+                val n = if (workers.size >= maxMachines) {
                     0
                 } else if (chance(0.2)) {
                     random.nextInt(a.count + 1)
@@ -297,16 +316,21 @@
             after(800.milliseconds) { ifLeading(s) { directEnded(a.machine, a, DirectOutcome.NOT_SENT, null) } }
             return
         }
+        if (now < w.unreachedUntil) {
+            after(3.seconds) { ifLeading(s) { directEnded(a.machine, a, if (chance(0.5)) DirectOutcome.UNKNOWN else DirectOutcome.NOT_SENT, null) } }
+            return
+        }
+        val life = w.life
         val held = now < w.cutUntil || w.hanging || chance(weather.held)
         if (held) {
             // Delivered when the cut ends or minutes late, though the sender has long given up.
             val late = maxOf(w.cutUntil - now, w.hungUntil - now, Duration.ZERO) + random.nextInt(60).seconds
-            after(late) { if (!w.gone && !w.hanging) execute(w, a) }
+            after(late) { if (!w.gone && !w.hanging && w.life == life) execute(w, a) }
             after(3.seconds) { ifLeading(s) { directEnded(a.machine, a, DirectOutcome.UNKNOWN, null) } }
             return
         }
         after(delay()) {
-            if (!w.gone && !w.hanging) {
+            if (!w.gone && !w.hanging && w.life == life) {
                 val ok = execute(w, a)
                 val report = w.report()
                 if (chance(weather.lost)) {
@@ -347,6 +371,7 @@
         check(c, spec, w)
         val fetch = if (spec.image in w.images) Duration.ZERO else (spec.imageGb / w.type.fetchGbPerS).seconds * (0.7 + 0.6 * random.nextDouble())
         starts++
+        firstStart.putIfAbsent(c.key.job, now)
         return Task(c.attempt, TaskState.FETCHING, now + fetch)
     }
 
@@ -390,18 +415,19 @@
         if (now < w.cutUntil || chance(weather.lost)) return
         val sent = now
         val r = w.report()
-        val s = leader
+        val s = if (now < w.keptUntil) null else leader
+        if (chance(weather.copies)) after((1 + random.nextInt(COPIES_LATE)).seconds) { step { reported(r) } }
         after(delay()) {
             if (s == null || leader !== s || w.gone) {
-                // Nobody leads: a node keeps the lease with the worker's own token.
-                if (r.session == w.session) w.answered = sent
+                // No leader is known where it reports: that node keeps the lease with the worker's own token.
+                if (r.session == w.session && now >= w.unreachedUntil) w.answered = sent
                 return@after
             }
             var commands: List<Command> = emptyList()
             step { commands = reported(r) }
             val answerToken = s.token
             after(delay()) {
-                if (w.gone || w.hanging || now < w.cutUntil || r.session != w.session || answerToken < w.seen) return@after
+                if (w.gone || w.hanging || now < w.cutUntil || now < w.unreachedUntil || r.session != w.session || answerToken < w.seen) return@after
                 w.seen = answerToken
                 w.answered = sent
                 commands.forEach { command(w, it) }
@@ -409,6 +435,28 @@
         }
     }
 
+    /**
+     * What a node would tell a user of the job now, and whether it may: nothing accepted is unknown, nothing that
+     * nobody submitted is known, and what was told of an end is never taken back.
+     */
+    private fun ask(id: String) {
+        val answer = end(id) ?: if (Keys.cancel(id) in state.entries) {
+            "cancelled"
+        } else if (live(id)) {
+            "live"
+        } else {
+            "unknown"
+        }
+        if (id !in specs) {
+            if (answer != "unknown") violations += "$now invented $id"
+            return
+        }
+        if (answer == "unknown") violations += "$now forgotten $id"
+        val before = told.put(id, answer)
+        if (before != null && before != "live" && before != answer) violations += "$now went_back $id from $before to $answer"
+        if (answer == "cancelled" && id !in cancelled) violations += "$now went_back $id was not cancelled"
+    }
+
     /** What happens by itself on the machines, and the rules that hold at every moment. */
     private fun live() {
         for (w in workers.values) {
@@ -469,6 +517,21 @@
             workers.remove(w.id)
         }
         if (chance(weather.cuts)) w.cutUntil = now + (5 + random.nextInt(40)).seconds
+        if (chance(weather.oneWay)) w.unreachedUntil = now + (5 + random.nextInt(60)).seconds
+        if (chance(weather.restarts)) {
+            w.life++
+            w.tasks.clear()
+            w.images.clear()
+            w.session = 1
+            w.seq = 0
+            w.seen = 0
+        }
+        if (chance(weather.apart)) {
+            // The old leader is cut off with most of the workers; they are served there until they find the new one.
+            leader = null
+            for (x in workers.values) if (chance(0.8)) x.keptUntil = now + (5 + random.nextInt(30)).seconds
+            after((1 + random.nextInt(6)).seconds) { electWhenUp() }
+        }
         if (chance(weather.hangs)) w.hungUntil = now + (2 + random.nextInt(20)).seconds
         if (chance(weather.notices) && w.spot && w.recallAt == null) {
             w.recallAt = now + 10.seconds
@@ -517,7 +580,11 @@
                 feed()
                 step { tick() }
             }
-            if (ticks++ % 5 == 0) list()
+            if (ticks++ % 5 == 0) {
+                list()
+                specs.keys.forEach(::ask)
+                ask("nobody-submitted-$ticks")
+            }
             if (!calm && ticks % 5 == 0) weatherNow()
         }
     }
@@ -546,6 +613,8 @@
 
     companion object {
         private val TICK = 200.milliseconds
-        private const val MAX_MACHINES = 24
+
+        /** In seconds; the lease of the stand-ins' deployment is 16 s. */
+        private const val COPIES_LATE = 50
     }
 }
