--- a/src/main/kotlin/glenspool/config/OperatorScript.kt
+++ b/src/main/kotlin/glenspool/config/OperatorScript.kt
@@ -111,6 +111,7 @@
             Knob("resource_factor", 0.01..100.0, { it.resourceFactor }, { t, d -> t.copy(resourceFactor = d) }),
             span("round_period_s", 0.1..60.0, { it.roundPeriod }, { t, d -> t.copy(roundPeriod = d) }),
             span("gang_wait_bound_s", 0.0..3600.0, { it.gangWaitBound }, { t, d -> t.copy(gangWaitBound = d) }),
+            span("wait_bound_s", 1.0..3600.0, { it.waitBound }, { t, d -> t.copy(waitBound = d) }),
             span("idle_return_s", 0.0..3600.0, { it.idleReturn }, { t, d -> t.copy(idleReturn = d) }),
             Knob("silence_share", 0.1..0.9, { it.silenceShare }, { t, d -> t.copy(silenceShare = d) }),
             Knob("headroom", 0.0..10.0, { it.headroom }, { t, d -> t.copy(headroom = d) }),
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -197,7 +197,7 @@
             settings.teams, settings.objectives, settings.zones,
             settings.workers.report, settings.workers.lease, settings.workers.gangWait, settings.workers.gangPeer, settings.workers.cancel,
             settings.cloudLimits.listLag, settings.stateLimits.txnOps, settings.stateLimits.writeRps,
-            settings.stateLimits.valueBytes, tuning.copy(notes = log.isDebugEnabled),
+            settings.stateLimits.valueBytes, tuning, log.isDebugEnabled,
         )
         val scheduler = Scheduler(config, term.token, clock.elapsedNow())
         val s = Session(term, scheduler)
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -47,6 +47,8 @@
     val writeRps: Double,
     val valueBytes: Int,
     val tuning: Tuning,
+    /** Whether each placement and stop is told for the log. */
+    val notes: Boolean = true,
 )
 
 /**
@@ -329,7 +331,7 @@
     }
 
     fun note(important: Boolean = false, text: () -> String) {
-        if (important || config.tuning.notes) actions.add(Note(text(), important))
+        if (important || config.notes) actions.add(Note(text(), important))
     }
 
     fun stop(p: Placement, reason: StopReason, grace: Duration) = orders.stop(p, reason, grace)
--- a/src/main/kotlin/glenspool/core/Tuning.kt
+++ b/src/main/kotlin/glenspool/core/Tuning.kt
@@ -25,6 +25,4 @@
     val bootPatience: Double = 2.5,
     /** How long a refused kind of machine is not asked for again. */
     val refusalPause: Duration = 15.seconds,
-    /** Whether each placement and stop is told for the log; follows the log's level and is not the operators' to set. */
-    val notes: Boolean = true,
 )
--- a/src/test/kotlin/glenspool/core/GuardsTest.kt
+++ b/src/test/kotlin/glenspool/core/GuardsTest.kt
@@ -475,7 +475,7 @@
         // It began anew: commands of an earlier leader that are still on their way would be carried out again.
         commanded().let { d -> step { directEnded("m1", d, DirectOutcome.DONE, report("m1", listOf(task("a", 0, 1, TaskState.RUNNING)))) } }
         say(report("m1", token = 0))
-        assertEquals("m1", core.jobs.getValue("a").placements.getValue(0).machine)
+        assertEquals(1L, core.jobs.getValue("a").placements.getValue(0).attempt)
         say(report("m1"))
         wait(1.seconds)
         assertTrue(core.jobs.getValue("a").placements.values.none { it.attempt == 1L })
--- a/src/test/kotlin/glenspool/core/StarvationTest.kt
+++ b/src/test/kotlin/glenspool/core/StarvationTest.kt
@@ -2,6 +2,8 @@
 
 import glenspool.core.model.Amount
 import glenspool.core.model.JobKind
+import glenspool.core.model.JobSpec
+import glenspool.core.model.Objective
 import glenspool.core.model.Priority
 import glenspool.standin.Weather
 import glenspool.standin.World
@@ -19,8 +21,8 @@
 class StarvationTest {
     private val machines = 6
 
-    private fun play(largest: List<glenspool.core.model.JobSpec>, small: (Int) -> glenspool.core.model.JobSpec): World {
-        val w = World(7, config(), listOf(bigType), Weather(), maxMachines = machines)
+    private fun play(largest: List<JobSpec>, objectives: List<Objective> = emptyList(), small: (Int) -> JobSpec): World {
+        val w = World(7, config(objectives = objectives), listOf(bigType), Weather(), maxMachines = machines)
         repeat(machines) { w.addMachine(bigType, if (it % 2 == 0) "a" else "b", false, Duration.ZERO) }
         w.elect()
         var n = 0
@@ -48,8 +50,10 @@
     private fun small(n: Int, priority: Priority) = job("small-$n", tasks = 6, priority = priority, estimate = 14.seconds, checkpoint = 5.seconds, image = "i${n % 3}")
 
     @Test
-    fun `the largest array begins among small ones of its own priority`() {
-        play(listOf(job("large", tasks = 90, need = Amount(4.0, 1.0, 16.0), estimate = 100.seconds, checkpoint = 5.seconds, image = "large"))) { small(it, Priority.STANDARD) }
+    fun `the largest array, too late for its aim from the first, begins among small ones that can still meet it`() {
+        val aim = Objective("finished", "class-ARRAY", 30.seconds, 0.9)
+        val large = job("large", tasks = 90, need = Amount(4.0, 1.0, 16.0), estimate = 100.seconds, checkpoint = 5.seconds, image = "large")
+        play(listOf(large), listOf(aim)) { small(it, Priority.STANDARD) }
     }
 
     @Test
