--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -93,7 +93,7 @@
     private val queue = LinkedBlockingQueue<Event>(QUEUE)
     private val clock = TimeSource.Monotonic.markNow()
     private var session: Session? = null
-    private var wasValid = false
+    private var pausedSince: Duration? = null
     private val writes = ArrayBlockingQueue<Pair<Term, Store>>(4)
 
     @Volatile
@@ -136,14 +136,29 @@
             val e = queue.poll(wait, TimeUnit.MILLISECONDS)
             if (e != null) handle(e)
             if (clock.elapsedNow() >= nextTick) {
-                // Cut off from the state service, another node may lead by now: what this core would conclude from
-                // its old picture, and from machines that obey somebody else, is worth nothing.
-                if (session.let { it != null && leadership.current() == it.term }) step { tick() }
+                if (session != null) tickOrPause()
                 nextTick = clock.elapsedNow() + TICK
             }
         }
     }
 
+    /**
+     * Cut off from the state service, another node may lead by now: what this core would conclude from its old
+     * picture, and from machines that obey somebody else, is worth nothing. It judges again once its lease is sure.
+     */
+    private fun tickOrPause() {
+        val since = pausedSince
+        if (leadership.current() != session?.term) {
+            if (since == null) pausedSince = clock.elapsedNow()
+            return
+        }
+        if (since != null) {
+            pausedSince = null
+            step { resumed(clock.elapsedNow() - since) }
+        }
+        step { tick() }
+    }
+
     private fun handle(e: Event) {
         when (e) {
             is Event.Elected -> begin(e.term)
@@ -202,6 +217,7 @@
         val scheduler = Scheduler(config, term.token, clock.elapsedNow())
         val s = Session(term, scheduler)
         session = s
+        pausedSince = null
         step {
             knownTypes()?.let { typesKnown(it) }
             imagesRemembered(replica.under(Keys.IMAGES).map(::rememberedImages).fold(emptyMap()) { x, y -> x + y })
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -99,7 +99,7 @@
         val gap = now - this.now
         this.now = now
         this.wall = wall
-        if (gap > STALL) forgiveGap(gap)
+        if (gap > STALL) resumed(gap)
         event()
         if (dirtyRound && now - lastRound >= roundGap || now - lastRound >= config.tuning.roundPeriod) round()
         orders.flush()
@@ -207,11 +207,14 @@
         if (m.token < token && !m.directBusy && !m.deleting) orders.send(m, emptyList())
     }
 
-    /** The process stood still or could not lead for a while: what was not heard meanwhile proves nothing. */
-    private fun forgiveGap(gap: Duration) {
+    /**
+     * The process stood still or could not lead for that long: what was not heard meanwhile proves nothing. Without
+     * this a leader that outlived an outage of the state service would take itself for deaf, and resign.
+     */
+    fun resumed(gap: Duration) {
         for (m in machines.values) {
-            m.heard = m.heard?.plus(gap)
-            m.mutedSince = m.mutedSince?.plus(gap)
+            m.heard = m.heard?.let { minOf(now, it + gap) }
+            m.mutedSince = m.mutedSince?.let { minOf(now, it + gap) }
         }
     }
 
--- a/src/main/kotlin/glenspool/core/cluster/Watch.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Watch.kt
@@ -102,14 +102,16 @@
         if (quiet > limit && (mostAreHeard(m) || quiet > config.lease * 2)) {
             // A worker may need most of its lease to find a new leader: each dead node costs it a time-out. Until
             // then only questions without an answer show that the machine itself is lost.
-            if (!m.everHeard && quiet <= config.lease && m.mutedSince.let { it == null || now - it < UNANSWERED_TWICE }) return
+            if (!m.everHeard && quiet <= config.lease && m.mutedSince.let { it == null || now - it < probeGap + UNANSWERED_TWICE }) return
             delete(m, "silent")
         }
     }
 
+    private val probeGap: Duration get() = maxOf(2.seconds, config.report)
+
     private fun probe(m: Machine) {
         if (probesLeft-- <= 0) return
-        m.probeAt = now + maxOf(2.seconds, config.report)
+        m.probeAt = now + probeGap
         core.act(Probe(m.id, m.addr))
     }
 
@@ -205,8 +207,8 @@
         const val MAX_DELETE = 100
         val DELETE_GAP = 400.milliseconds
 
-        /** Longer than the pause between two questions, so that one slow answer is not taken for a lost machine. */
-        val UNANSWERED_TWICE = 2500.milliseconds
+        /** Past the pause between two questions, so that one slow answer is not taken for a lost machine. */
+        val UNANSWERED_TWICE = 500.milliseconds
 
         /** What a new leader needs to have its stops carried out before it judges. */
         val STOP_TIME = 6.seconds
--- a/src/test/kotlin/glenspool/core/GuardsTest.kt
+++ b/src/test/kotlin/glenspool/core/GuardsTest.kt
@@ -275,6 +275,19 @@
         assertTrue(core.machines.getValue("m2").slowness < 1.2)
     }
 
+    @Test
+    fun `a leader that could not lead for a while judges nobody by that time`() {
+        val running = busy(4)
+        // Its lease is unsure for 12 s; calls still end meanwhile, so the core's own time goes on.
+        repeat(12) {
+            now += 1.seconds
+            step { typesKnown(listOf(bigType)) }
+        }
+        step { resumed(12.seconds) }
+        val actions = live(4.seconds, running, emptySet())
+        assertTrue(actions.none { it is Resign || it is Delete })
+    }
+
     @Test
     fun `a leader that hears some workers stays`() {
         val running = busy(4)
