--- a/src/main/kotlin/glenspool/controller/CallPool.kt
+++ b/src/main/kotlin/glenspool/controller/CallPool.kt
@@ -4,6 +4,7 @@
 import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.ThreadPoolExecutor
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 
 /**
  * Threads for calls that may be slow: a new one only while all others are busy, up to [threads]; beyond that calls
@@ -12,14 +13,19 @@
  */
 class CallPool(name: String, threads: Int, private val waiting: Int) : AutoCloseable {
     private inner class Waiting : LinkedBlockingQueue<Runnable>() {
-        /** False makes the executor start a thread; it asks [wait] once it may start no more. */
-        override fun offer(e: Runnable): Boolean = pool.activeCount + size < pool.poolSize && super.offer(e)
+        /**
+         * False makes the executor start a thread; it asks [wait] once it may start no more. The calls are counted
+         * here: a thread that is about to run one does not yet count as active, and a call must not be put behind one
+         * that gets stuck.
+         */
+        override fun offer(e: Runnable): Boolean = unfinished.get() <= pool.poolSize && super.offer(e)
 
         fun wait(e: Runnable) {
             if (size >= waiting || !super.offer(e)) throw RejectedExecutionException("more than $waiting calls wait")
         }
     }
 
+    private val unfinished = AtomicInteger()
     private val queue = Waiting()
     private val pool: ThreadPoolExecutor = ThreadPoolExecutor(
         1, threads, 10, TimeUnit.SECONDS, queue,
@@ -28,11 +34,21 @@
     )
 
     /** False: too much waits already, and it will not be run. */
-    fun run(call: () -> Unit): Boolean = try {
-        pool.execute(call)
-        true
-    } catch (e: RejectedExecutionException) {
-        false
+    fun run(call: () -> Unit): Boolean {
+        unfinished.incrementAndGet()
+        return try {
+            pool.execute {
+                try {
+                    call()
+                } finally {
+                    unfinished.decrementAndGet()
+                }
+            }
+            true
+        } catch (e: RejectedExecutionException) {
+            unfinished.decrementAndGet()
+            false
+        }
     }
 
     override fun close() {
--- a/src/test/kotlin/glenspool/core/GuardsTest.kt
+++ b/src/test/kotlin/glenspool/core/GuardsTest.kt
@@ -423,7 +423,10 @@
         val m = running.keys.first()
         step { probed(m, null) }
         assertFalse(core.machines.getValue(m).ready(now, 60.seconds))
-        step { probed(m, null, asked = false) }
+        // A question that was never sent, for want of threads, says nothing of the machine.
+        val other = (running.keys - m).single()
+        step { probed(other, null, asked = false) }
+        assertTrue(core.machines.getValue(other).ready(now, 60.seconds))
         live(6.seconds, running, emptySet())
         assertTrue(core.machines.getValue(m).ready(now, 60.seconds))
     }
