--- a/src/main/kotlin/glenspool/cli/Explain.kt
+++ b/src/main/kotlin/glenspool/cli/Explain.kt
@@ -20,8 +20,16 @@
         val stops = TreeMap<String, Int>()
     }
 
+    /** Jobs of a class that waited for others. */
+    class ChainSums {
+        var ready = 0
+        var held = 0.0
+        var cut = 0
+    }
+
     class Result {
         val classes = TreeMap<String, ClassSums>()
+        val chains = TreeMap<String, ChainSums>()
         val giveUps = TreeMap<String, Int>()
         var terms = 0
         var leaseEnds = 0
@@ -61,6 +69,12 @@
                 }
                 "off" -> if (classOf[task] != null) offAt[task] = t
                 "stop" -> classOf[task]?.let { r.classes.getValue(it).stops.merge(f["reason"] ?: "?", 1, Int::plus) }
+                "ready" -> f["class"]?.let { c ->
+                    val s = r.chains.getOrPut(c) { ChainSums() }
+                    s.ready++
+                    s.held += f["held-s"]?.toDoubleOrNull() ?: 0.0
+                }
+                "cut" -> f["class"]?.let { c -> r.chains.getOrPut(c) { ChainSums() }.cut++ }
                 "give-up" -> r.giveUps.merge(f["reason"] ?: "?", 1, Int::plus)
                 "lease-ended" -> r.leaseEnds++
                 "elected" -> {
@@ -81,6 +95,8 @@
             val away = if (s.again == 0) 0.0 else s.away / s.again
             appendLine("%-20s %6d  %8d  %5d  %11.1f  %s".format(name, s.places, s.uncached, s.again, away, s.stops))
         }
+        if (r.chains.isNotEmpty()) appendLine("waited for others     ready  s-held-each  aborted with another")
+        for ((name, s) in r.chains) appendLine("%-20s %6d  %11.1f  %20d".format(name, s.ready, if (s.ready == 0) 0.0 else s.held / s.ready, s.cut))
         appendLine("machines given up: ${r.giveUps}")
         appendLine("leases ended: ${r.leaseEnds}; terms of leadership: ${r.terms}; seconds between them: %.1f".format(r.leaderless))
     }
--- a/src/main/kotlin/glenspool/cli/Rehearsal.kt
+++ b/src/main/kotlin/glenspool/cli/Rehearsal.kt
@@ -62,9 +62,11 @@
         val http = HttpCaller(500.milliseconds)
         Thread.sleep(700)
         http.post(addr, "/api/jobs", job, 2.seconds)
+        http.post(addr, "/api/jobs", job + mapOf("uid" to "run-000003", "awaits" to listOf("run-000001")), 2.seconds)
         for (n in 1L..4L) {
             http.get(addr, "/ready", 2.seconds)
             http.get(addr, "/api/jobs/run-000001", 2.seconds)
+            http.get(addr, "/api/jobs/run-000002", 2.seconds)
             http.post(addr, "/checkin", report(n, worker), 2.seconds)
             Thread.sleep(300)
         }
@@ -99,7 +101,11 @@
     private fun changes(): List<Map<String, Any?>> = if (ledger.get() % 3 != 0L) {
         emptyList()
     } else {
-        listOf(mapOf("set" to "g/j/run-000001", "data" to mapOf("job" to job, "at" to 0, "last" to 0), "mark" to ledger.get()))
+        val waiting = mapOf("job" to job + ("uid" to "run-000002"), "awaits" to listOf("run-000001"), "waits" to true)
+        listOf(
+            mapOf("set" to "g/j/run-000001", "data" to mapOf("job" to job, "at" to 0, "last" to 0), "mark" to ledger.get()),
+            mapOf("set" to "g/j/run-000002", "data" to mapOf("sealed" to waiting, "at" to 0, "last" to 0), "mark" to ledger.get()),
+        )
     }
 
     private fun freePort(): Int = ServerSocket(0).use { it.localPort }
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -20,11 +20,13 @@
 import glenspool.core.Store
 import glenspool.core.StoreOutcome
 import glenspool.core.Tuning
+import glenspool.core.cluster.Overdue
 import glenspool.core.model.Command
 import glenspool.core.model.JobEnd
 import glenspool.core.model.ListedMachine
 import glenspool.core.model.MachineType
 import glenspool.core.model.Report
+import glenspool.core.model.TaskState
 import glenspool.http.CallPool
 import glenspool.state.Keys
 import glenspool.state.Put
@@ -187,6 +189,7 @@
         val since = pausedSince
         if (leadership.current() != session?.term) {
             if (since == null) pausedSince = clock.elapsedNow()
+            endOverdue()
             return
         }
         if (since != null) {
@@ -199,6 +202,21 @@
         }
     }
 
+    private fun endOverdue() {
+        val s = session ?: return
+        for (o in s.scheduler.overdue(clock.elapsedNow())) {
+            run(probePool, { log.debug("machine {} not looked after", o.machine) }) { end(o) }
+        }
+    }
+
+    private fun end(o: Overdue) {
+        val r = if (o.addr.isEmpty()) null else workers.show(o.addr)
+        if (r != null && r.machine == o.machine && r.tasks.none { it.key.job in o.jobs && it.state != TaskState.EXITED }) return
+        val ok = cloud.delete(listOf(o.machine))
+        log.info("delete machine={} reason=cancelled-work leading=false ok={}", o.machine, ok)
+        if (ok) post(Event.DeleteEnded(listOf(o.machine), true))
+    }
+
     private fun handle(e: Event) {
         when (e) {
             is Event.Elected -> begin(e.term)
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -69,9 +69,18 @@
         duties.start("cloud") { loop.watchCloud() }
         duties.start("writer") { loop.write() }
         duties.start("peers") { watchPeers() }
+        duties.start("sweep") { sweepWhileLeading() }
         log.info("started node={} zone={} api={}", settings.node, settings.zone, settings.apiAddr.hostPort())
     }
 
+    private fun sweepWhileLeading() {
+        val sweep = Sweep(replica, settings.stateLimits.safe.txnOps, state::transact)
+        while (true) {
+            Thread.sleep(SWEEP_EVERY.inWholeMilliseconds)
+            leadership.current()?.let { sweep.look(it.mark) }
+        }
+    }
+
     fun join() = duties.join()
 
     override fun close() {
@@ -132,6 +141,7 @@
         /** The copy is looked after every second: when it is older, the state service is slow or out of reach. */
         private val STALE: Duration = 2500.milliseconds
         private val PEER_LOOK: Duration = 500.milliseconds
+        private val SWEEP_EVERY: Duration = 20.seconds
         private val MEMBERS_LOOK: Duration = 4.seconds
 
         /** A peer that stalls in the middle of a request holds one until the server's time limit: there are many. */
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -5,6 +5,7 @@
 import glenspool.core.cluster.ImageHints
 import glenspool.core.cluster.Machine
 import glenspool.core.cluster.Orders
+import glenspool.core.cluster.Overdue
 import glenspool.core.cluster.Watch
 import glenspool.core.lifecycle.Chains
 import glenspool.core.lifecycle.Job
@@ -36,6 +37,7 @@
 import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /** What the core needs to know of the deployment. */
 data class SchedulerConfig(
@@ -192,7 +194,7 @@
         job.ready = wall
         job.seenAt = now
         jobs[job.spec.id] = job
-        note { "ready task=${job.spec.id} class=${job.spec.jobClass} waited=${wall - job.submitted}" }
+        note { "ready task=${job.spec.id} class=${job.spec.jobClass} held-s=${(wall - job.submitted).toDouble(DurationUnit.SECONDS)}" }
         capacity.arrived(job, now)
         dirtyRound = true
     }
@@ -346,6 +348,14 @@
         }
     }
 
+    /**
+     * While nobody can lead for want of the state service, cancelled work on machines out of reach still has to be gone in
+     * time. To delete them is the one thing that is safe without leading: it starts nothing, and whoever leads next, or
+     * already does, sees machines that are gone. It costs what else is on them, so only the last moment justifies it, and
+     * only if the machine itself does not say that the work is gone.
+     */
+    fun overdue(at: Duration): List<Overdue> = watch.overdue(at)
+
     fun stored(outcome: StoreOutcome) = storing.ended(outcome)
 
     fun tick() {
@@ -505,7 +515,7 @@
         .groupBy({ it.jobClass.orEmpty() }, { it.within ?: Duration.ZERO })
         .mapValues { (_, l) -> l.sorted() }
 
-    override fun recordRoom(job: Job): Int = if (mayShelve) Int.MAX_VALUE else job.shelves.recordLeft / Shelves.BYTES_PER_PLACE
+    override fun recordRoom(job: Job): Int = job.shelves.room(mayShelve)
 
     /** What a record has left for places. */
     private fun recordRoom(spec: JobSpec): Int = maxOf(0, config.valueBytes - spec.recordBytes - Shelves.RECORD_MARKS)
--- a/src/main/kotlin/glenspool/core/capacity/Capacity.kt
+++ b/src/main/kotlin/glenspool/core/capacity/Capacity.kt
@@ -77,14 +77,22 @@
     }
 
     /** Where one job's tasks go on paper. Rooms only shrink, so what did not fit one task fits none after it. */
-    private class Cursor(val spec: JobSpec, val zone: String? = null) {
+    private class Cursor(
+        val spec: JobSpec,
+        private val zone: String? = null,
+        /** How many tasks of a spread job each zone may still take. */
+        private val zoneRoom: MutableMap<String, Int>? = null,
+    ) {
         private var at = 0
 
+        fun takes(z: String): Boolean = (zone == null || zone == z) && (zoneRoom == null || zoneRoom.getOrDefault(z, 0) > 0)
+
         fun place(paper: Paper): Boolean {
             while (at < paper.virtual.size) {
                 val v = paper.virtual[at]
                 if (suits(v) && spec.need.fits(v.room)) {
                     v.room -= spec.need
+                    zoneRoom?.merge(v.offer.zone, -1, Int::plus)
                     return true
                 }
                 at++
@@ -95,7 +103,7 @@
         private fun suits(v: Virtual) = (spec.types == null || v.offer.type in spec.types) &&
             (spec.zone == null || spec.zone == v.offer.zone) &&
             (spec.spot || !v.offer.spot) &&
-            (zone == null || zone == v.offer.zone)
+            takes(v.offer.zone)
     }
 
     fun plan(now: Duration) {
@@ -162,16 +170,20 @@
             val spotPatience = maxOf(lead * 0.5, slack * 0.25) * spotDiscount(spec)
             val ordinaryPatience = maxOf(lead * 1.5, slack * 0.5)
             val cursor = Cursor(spec)
+            // Places that drain are those of other work; where none is of use to this job, waiting for them has no end.
+            val bound = core.config.tuning.waitBound * (if (job.begun) 2 else 1)
+            var stuck = job.placements.isEmpty() && (now - job.seenAt > bound || nowhere(spec))
             repeat(minOf(job.waitingCount(), core.teamRoom(job), MAX_PER_JOB)) {
                 if (cursor.place(paper)) return@repeat
                 work += each
                 val drain = work / maxOf(places, 1)
                 val patience = if (spec.spot) spotPatience else minOf(spotPatience, ordinaryPatience)
-                if (drain <= patience) return@repeat
-                val v = fresh(spec, paper, null, now, if (spec.spot) true else null)
-                    ?: (if (drain > ordinaryPatience) fresh(spec, paper, null, now, null) else null)
+                if (drain <= patience && !stuck) return@repeat
+                val v = fresh(cursor, paper, now, if (spec.spot) true else null)
+                    ?: (if (drain > ordinaryPatience || stuck) fresh(cursor, paper, now, null) else null)
                     ?: return@repeat
                 paper.add(v)
+                stuck = false
                 places += spec.need.countIn(v.room)
                 cursor.place(paper)
                 work -= each
@@ -179,6 +191,11 @@
         }
     }
 
+    /** Whether no machine of the fleet could ever take the task, however empty. */
+    private fun nowhere(spec: JobSpec): Boolean = core.machines.values.none { m ->
+        !m.deleting && !m.failed && !m.retiring && m.notice == null && allowed(spec, m) && core.types[m.type].let { it != null && spec.need.fits(it.room) }
+    }
+
     /** What a spot machine costs of an ordinary one's price: the cheaper, the sooner it is worth renting. */
     private fun spotDiscount(spec: JobSpec): Double {
         if (!spec.spot) return 1.0
@@ -250,26 +267,35 @@
         }
         var zone: String? = null
         if (job.spec.sameZone) zone = paper.virtual.groupingBy { it.offer.zone }.eachCount().maxByOrNull { it.value }?.key
-        val cursor = Cursor(job.spec, zone)
+        val cursor = Cursor(job.spec, zone, zoneRoom(job))
         while (n > 0) {
             if (!put(cursor, paper, now)) return
             n--
         }
     }
 
+    /** A machine in a zone that has its share of a spread job already would be of no use to it, however often one is rented. */
+    private fun zoneRoom(job: Job): MutableMap<String, Int>? {
+        if (!job.spec.spread) return null
+        val left = core.config.zones.associateWithTo(HashMap()) { job.spec.zoneCap }
+        for (p in job.placements.values) core.zoneOf(p.machine)?.let { left.merge(it, -1, Int::plus) }
+        return left
+    }
+
     private fun put(cursor: Cursor, paper: Paper, now: Duration): Boolean {
         if (cursor.place(paper)) return true
-        paper.add(fresh(cursor.spec, paper, cursor.zone, now, null) ?: return false)
+        paper.add(fresh(cursor, paper, now, null) ?: return false)
         return cursor.place(paper)
     }
 
     /** The cheapest kind of machine for the task that is not known to be refused, in the zone with fewest machines. */
-    private fun fresh(spec: JobSpec, paper: Paper, zone: String?, now: Duration, onlySpot: Boolean?): Virtual? {
+    private fun fresh(cursor: Cursor, paper: Paper, now: Duration, onlySpot: Boolean?): Virtual? {
+        val spec = cursor.spec
         val offers = ArrayList<Pair<Offer, MachineType>>()
         for (t in core.types.values) {
             if (spec.types != null && t.name !in spec.types || !spec.need.fits(t.room)) continue
             for (z in t.zones.ifEmpty { core.config.zones }) {
-                if (spec.zone != null && spec.zone != z || zone != null && zone != z) continue
+                if (spec.zone != null && spec.zone != z || !cursor.takes(z)) continue
                 for (spot in if (spec.spot) listOf(true, false) else listOf(false)) {
                     if (onlySpot != null && spot != onlySpot) continue
                     val o = Offer(t.name, z, spot)
--- a/src/main/kotlin/glenspool/core/cluster/Watch.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Watch.kt
@@ -4,6 +4,7 @@
 import glenspool.core.Probe
 import glenspool.core.Resign
 import glenspool.core.Scheduler
+import glenspool.core.lifecycle.Job
 import glenspool.core.lifecycle.Step
 import glenspool.core.lifecycle.StopReason
 import glenspool.core.model.TaskState
@@ -11,6 +12,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** Cancelled [jobs] should be off the machine by now. */
+data class Overdue(val machine: String, val addr: String, val jobs: Set<String>)
+
 /**
  * Gives machines up that can't be heard or reached, and the leadership if that is our own fault. A machine is only
  * ever given up by deletion: neither silence nor time proves what is on it.
@@ -134,13 +138,34 @@
      */
     private fun cancelledTooLong(m: Machine): Boolean {
         if (now - core.startedAt > STOP_TIME && m.straySince.let { it != null && now - it > config.cancel * 0.6 }) return true
-        var due: Duration? = null
-        for (p in m.placements.values) p.job.cancelledAt?.let { c -> due = minOf(due ?: c, c) }
-        for (k in m.strays.keys) core.jobs[k.job]?.cancelledAt?.let { c -> due = minOf(due ?: c, c) }
-        val since = now - (due ?: return false)
+        val since = now - (cancelledSince(m) ?: return false)
         return since > config.cancel * 0.6 && now - core.startedAt > STOP_TIME || since > config.cancel * 0.8
     }
 
+    /** When the first of the jobs was cancelled that have something on the machine. */
+    private fun cancelledSince(m: Machine): Duration? = cancelledOn(m).mapNotNull { it.cancelledAt }.minOrNull()
+
+    private fun cancelledOn(m: Machine): List<Job> =
+        if (m.placements.isEmpty() && m.strays.isEmpty()) {
+            emptyList()
+        } else {
+            (m.placements.values.map { it.job } + m.strays.keys.mapNotNull { core.jobs[it.job] }).filter { it.cancelledAt != null }
+        }
+
+    private val overdueAskedAt = HashMap<String, Duration>()
+
+    /** Machines whose cancelled work must be gone by now, as far as this node knows; each is named again after a while. */
+    fun overdue(at: Duration): List<Overdue> {
+        val result = ArrayList<Overdue>()
+        for (m in core.machines.values) {
+            if (m.deleting || cancelledSince(m).let { it == null || at - it <= config.cancel * 0.8 }) continue
+            if (overdueAskedAt[m.id].let { it != null && at - it < OVERDUE_AGAIN }) continue
+            overdueAskedAt[m.id] = at
+            result.add(Overdue(m.id, m.addr, cancelledOn(m).mapTo(HashSet()) { it.spec.id }))
+        }
+        return result
+    }
+
     /** A cut or a stall on our own side makes every machine look silent: then none is given up. */
     private fun mostAreHeard(but: Machine): Boolean {
         val rest = others - 1
@@ -223,6 +248,8 @@
         /** Past the pause between two questions, so that one slow answer is not taken for a lost machine. */
         val UNANSWERED_TWICE = 500.milliseconds
 
+        val OVERDUE_AGAIN = 3.seconds
+
         /** What a new leader needs to have its stops carried out before it judges. */
         val STOP_TIME = 6.seconds
     }
--- a/src/main/kotlin/glenspool/core/lifecycle/Chains.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Chains.kt
@@ -144,8 +144,7 @@
             for (d in dependents[next.removeFirst()].orEmpty()) {
                 val h = held[d] ?: continue
                 if (h.job.cutBy != null) continue
-                h.job.cutBy = by
-                h.job.touch()
+                close(h.job, by)
                 freed.addAll(h.needs)
                 next.addLast(d)
             }
@@ -153,11 +152,16 @@
         raise(freed)
     }
 
+    private fun close(job: Job, by: String) {
+        job.cutBy = by
+        job.touch()
+        core.note { "cut task=${job.spec.id} class=${job.spec.jobClass} by=$by" }
+    }
+
     private fun cut(id: String, by: String) {
         val h = held[id] ?: return
         if (h.job.cutBy != null) return
-        h.job.cutBy = by
-        h.job.touch()
+        close(h.job, by)
         cutAfter(id, by)
         raise(h.needs)
     }
--- a/src/main/kotlin/glenspool/core/lifecycle/Shelves.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Shelves.kt
@@ -23,6 +23,13 @@
 
     val dirtyCount: Int get() = dirty.size
 
+    /** How many more places there is surely room for. The record lists its shelves, so there are only so many. */
+    fun room(mayShelve: Boolean): Int {
+        if (!mayShelve) return recordLeft / BYTES_PER_PLACE
+        val onShelves = apart.sumOf { maxOf(0, shelfRoom - it.bytes) / BYTES_PER_PLACE } + (MAX_SHELVES - apart.size) * (shelfRoom / BYTES_PER_PLACE)
+        return maxOf(0, recordLeft) / BYTES_PER_PLACE + onShelves
+    }
+
     /** Puts a place into the record if it fits, or if nothing else is allowed; else on the first shelf with room. */
     fun add(p: Placement, mayShelve: Boolean) {
         val n = if (!mayShelve || cost(inRecord, p) <= recordLeft) RECORD else shelfFor(p)
@@ -58,7 +65,7 @@
             if (recordLeft >= 0) return
             if (p.shelf != RECORD) continue
             val to = shelfFor(p)
-            if (to !in used && used.size >= most) return
+            if (to == RECORD || to !in used && used.size >= most) return
             used.add(to)
             remove(p)
             put(p, to)
@@ -78,7 +85,11 @@
 
     private fun shelfFor(p: Placement): Int {
         val found = apart.indexOfFirst { cost(it, p) <= shelfRoom - it.bytes }
-        return if (found >= 0) found else apart.size
+        return when {
+            found >= 0 -> found
+            apart.size < MAX_SHELVES -> apart.size
+            else -> RECORD
+        }
     }
 
     /** A machine is written once with all its tasks: name and marks for the first, two numbers for each. */
@@ -92,6 +103,8 @@
         /** What a shelf takes besides its places. */
         const val SHELF_MARKS = 64
 
+        private const val MAX_SHELVES = 16
+
         /** The list of a record's shelves and other marks that its description does not have. */
         const val RECORD_MARKS = 96
 
--- a/src/test/kotlin/glenspool/cli/CommandLineTest.kt
+++ b/src/test/kotlin/glenspool/cli/CommandLineTest.kt
@@ -78,6 +78,9 @@
                     9.5 n0 DEBUG CoreLoop - place task=run-1/0 attempt=2 class=scan machine=i-2 cached=true waited=8.5s
                     12.0 n1 INFO Leadership - elected token=2 revision=9
                     13.0 n1 INFO CoreLoop - give-up machine=i-2 reason=silent tasks=1 heard=null now=1s
+                    14.0 n1 DEBUG CoreLoop - ready task=run-2 class=label held-s=3.5
+                    14.5 n1 DEBUG CoreLoop - ready task=run-3 class=label held-s=4.5
+                    15.0 n1 DEBUG CoreLoop - cut task=run-4 class=label by=run-1
                 not a log line
                 """.trimIndent(),
             )
@@ -89,6 +92,8 @@
         assertEquals(mapOf("PREEMPTED" to 1), scan.stops)
         assertEquals(mapOf("silent" to 1), r.giveUps)
         assertEquals(2.5, r.leaderless, 1e-9)
+        assertEquals(Triple(2, 8.0, 1), r.chains.getValue("label").let { Triple(it.ready, it.held, it.cut) })
+        assertTrue(run("explain", log.path).out.contains("aborted with another"))
         assertTrue(run("explain", log.path).out.contains("scan"))
         assertEquals(2, run("explain").code)
     }
--- a/src/test/kotlin/glenspool/core/FleetGuardsTest.kt
+++ b/src/test/kotlin/glenspool/core/FleetGuardsTest.kt
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Guards that matter where much of a large fleet is in the same trouble at once. */
@@ -51,6 +52,64 @@
         assertEquals(zone, list(running.keys, failed = zone).deleted())
     }
 
+    @Test
+    fun `machines that are lost one after the other share a call to the cloud, whose calls are few`() {
+        val running = busy(6, others = 6)
+        assertEquals(listOf(listOf("m1")), list(running.keys, failed = setOf("m1")).filterIsInstance<Delete>().map { it.machines })
+        // Within the pause nothing is sent, and what came meanwhile goes together.
+        assertTrue(list(running.keys, failed = setOf("m1", "m2")).none { it is Delete })
+        now += 200.milliseconds
+        assertTrue(list(running.keys, failed = setOf("m1", "m2", "z1")).none { it is Delete })
+        now += 200.milliseconds
+        assertEquals(listOf(listOf("m2", "z1")), step { tick() }.filterIsInstance<Delete>().map { it.machines })
+    }
+
+    @Test
+    fun `an array that no machine could take gets one, however little its work is`() {
+        step { typesKnown(listOf(bigType)) }
+        submit(job("a"))
+        assertEquals(listOf(1), wait(4.seconds).filterIsInstance<Rent>().map { it.count })
+    }
+
+    @Test
+    fun `an array does not wait for ever behind work that never ends`() {
+        started()
+        submit(job("s", JobKind.SERVICE, need = Amount(16.0, 4.0, 64.0), priority = Priority.CRITICAL))
+        wait(1.seconds)
+        val running = carriedOut()
+        submit(job("a"))
+        assertEquals(emptyList<Rent>(), live(90.seconds, running, emptySet()).filterIsInstance<Rent>())
+        assertEquals(listOf(1), live(20.seconds, running, emptySet()).filterIsInstance<Rent>().map { it.count })
+    }
+
+    @Test
+    fun `while nobody can lead, cancelled work out of reach is named when its time is nearly over, and no other`() {
+        val running = busy(3)
+        submit(job("b"))
+        step { jobCancelled("a", ++revision, now) }
+        // The stop is carried out on m1 and m2; m3 is not heard any more.
+        for (m in listOf("m1", "m2")) say(report(m, listOf(running.getValue(m).copy(state = TaskState.EXITED, exit = Exit.STOPPED))))
+        val cancelled = now
+        assertEquals(emptyList<String>(), core.overdue(cancelled + 31.seconds).map { it.machine })
+        assertEquals(listOf("m3" to setOf("a")), core.overdue(cancelled + 33.seconds).map { it.machine to it.jobs })
+        assertEquals(emptyList<String>(), core.overdue(cancelled + 34.seconds).map { it.machine })
+        assertEquals(listOf("m3"), core.overdue(cancelled + 37.seconds).map { it.machine })
+        step { deletionEnded(listOf("m3"), true) }
+        assertEquals(emptyList<String>(), core.overdue(cancelled + 50.seconds).map { it.machine })
+    }
+
+    @Test
+    fun `a spread service whose zone is full gets a machine in another zone`() {
+        started(1, others = 1)
+        // Zone a has its share of the service, and the machine in zone b is full.
+        submit(job("full", need = Amount(15.0, 4.0, 60.0), zone = "b", priority = Priority.CRITICAL, estimate = 1000.seconds))
+        wait(1.seconds)
+        assertEquals(setOf("z1"), carriedOut().keys)
+        val first = submit(job("s", JobKind.SERVICE, 2, priority = Priority.CRITICAL, spread = true), listOf(Intent(0, 1, "m1")), last = 1)
+        val rented = (first + wait(4.seconds)).filterIsInstance<Rent>()
+        assertTrue(rented.isNotEmpty() && rented.all { it.zone == "b" }, "$rented")
+    }
+
     @Test
     fun `machines lost in several zones are given up at once`() {
         val running = busy(6, others = 6)
--- a/src/test/kotlin/glenspool/standin/World.kt
+++ b/src/test/kotlin/glenspool/standin/World.kt
@@ -653,6 +653,17 @@
                     tick()
                 }
             }
+            val l = leader
+            if (l != null && now < stateDownUntil) {
+                for (o in l.overdue(now)) {
+                    val w = workers[o.machine] ?: continue
+                    if (reachable(w) && now >= w.unreachedUntil && w.tasks.none { it.key.job in o.jobs && it.value.exit == null }) continue
+                    after(delay() * 5) {
+                        workers.remove(o.machine)?.gone = true
+                        ifLeading(l) { deletionEnded(listOf(o.machine), true) }
+                    }
+                }
+            }
             if (ticks++ % 5 == 0) {
                 list()
                 specs.keys.forEach(::ask)
