--- a/src/test/kotlin/glenspool/core/ChainsTest.kt
+++ b/src/test/kotlin/glenspool/core/ChainsTest.kt
@@ -179,8 +179,10 @@
         if (!tell) return
         // Some answers get lost; in the end all arrive.
         var acts = wait(1.seconds)
+        var times = 0
         while (acts.asked().isNotEmpty()) {
             val asked = acts.asked()
+            assertTrue(++times < 200, "asked without end for $asked")
             acts = step { endsRead(asked, asked.filter { m.random.nextInt(4) > 0 && it in m.ends }.associateWith { m.ends.getValue(it) }) } + wait(2.seconds)
         }
     }
--- a/src/test/kotlin/glenspool/core/SmallValuesTest.kt
+++ b/src/test/kotlin/glenspool/core/SmallValuesTest.kt
@@ -76,9 +76,9 @@
     @Test
     fun `no start is sent for a place whose shelf is not stored`() {
         step { membersKnown(true) }
-        fleet(160)
-        val first = store(submit(wide) + wait(2.seconds)).writes.single() as SaveJob
-        assertTrue(first.shelves.isNotEmpty())
+        fleet(400)
+        val first = store(submit(wide.copy(tasks = 400)) + wait(2.seconds)).writes.single() as SaveJob
+        assertTrue(first.shelves.size == 3 && first.record.shelved.size > 3, "all of it went into the first transaction")
         val inFirst = first.record.intents.size + first.shelves.keys.sumOf { first.record.shelved.getValue(it).size }
         assertEquals(inFirst, confirm().starts().size)
     }
