Of two stored places of a task the newer counts; a result may be forgotten only when its own part is stored

For jobs of more than two done-bit chunks, all results counted as stored with the first two chunks. A test for each.

--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -161,9 +161,15 @@
         }
         jobs[record.spec.id] = job
         chains.appeared(record.spec.id)
-        for (i in record.intents) standing(job, i, Shelves.RECORD)
-        for ((shelf, list) in record.shelved) for (i in list) standing(job, i, shelf)
+        // Shelves are not all stored at the same moment: an older one may still name a task that has a newer place by now.
+        val places = record.intents.map { it to Shelves.RECORD } + record.shelved.flatMap { (shelf, list) -> list.map { it to shelf } }
+        val (newest, outdated) = places.groupBy { it.first.task }.values.map { l -> l.sortedByDescending { it.first.attempt } }.let { all ->
+            all.map { it.first() } to
+                all.flatMap { it.drop(1) }
+        }
+        for ((i, shelf) in newest) standing(job, i, shelf)
         job.shelves.clean()
+        for ((_, shelf) in outdated) job.shelves.touched(shelf)
         if (job.spec.kind == JobKind.GANG && job.placements.isNotEmpty()) {
             job.gangAttempt = job.placements.values.maxOf { it.attempt }
             job.gangStarted = true
@@ -175,7 +181,6 @@
 
     /** An earlier leader may have started it: it stays until the machine's report or its deletion proves it gone. */
     private fun standing(job: Job, i: Intent, shelf: Int) {
-        if (job.placementOf(i.task) != null) return
         val p = Placement(job, i.task, i.attempt, i.machine, now)
         p.step = Step.ORDERED
         p.startSent = now
--- a/src/main/kotlin/glenspool/core/lifecycle/Shelves.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Shelves.kt
@@ -77,7 +77,8 @@
 
     fun stored(shelves: Map<Int, Long>) = shelves.forEach { (n, at) -> dirty.remove(n, at) }
 
-    private fun touched(shelf: Int) {
+    /** What is stored of the shelf is not what it holds. */
+    fun touched(shelf: Int) {
         if (shelf != RECORD) dirty[shelf] = ++stamp
     }
 
--- a/src/main/kotlin/glenspool/core/lifecycle/Storing.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Storing.kt
@@ -138,7 +138,7 @@
             is SaveJob -> {
                 if (w.whole) job.saved = w.change else job.soft(core.now)
                 job.shelves.stored(w.shelves)
-                job.storedDone.or(w.record.done)
+                job.markStored(w)
                 if (w.record.done.cardinality() > 0 && job.spec.tasks > CHUNKED_ABOVE && job.dirtyChunks().isNotEmpty()) job.soft(core.now)
                 for (p in job.placements.values.toList()) {
                     if (p.step != Step.INTENDED || p.storedAt > w.change || p.shelf != Shelves.RECORD && p.shelf !in w.shelves) continue
@@ -189,6 +189,21 @@
     }
 }
 
+/** Of a large job only the chunks that were written: a worker may forget a result only when its own bit is stored. */
+private fun Job.markStored(w: SaveJob) {
+    if (spec.tasks <= CHUNKED_ABOVE) {
+        storedDone.or(w.record.done)
+        return
+    }
+    for (c in w.chunks) {
+        var t = w.record.done.nextSetBit(c * CHUNK)
+        while (t in 0 until (c + 1) * CHUNK) {
+            storedDone.set(t)
+            t = w.record.done.nextSetBit(t + 1)
+        }
+    }
+}
+
 private fun Job.dirtyChunks(): List<Int> {
     if (spec.tasks <= CHUNKED_ABOVE) return emptyList()
     val chunks = LinkedHashSet<Int>()
--- a/src/test/kotlin/glenspool/core/SmallValuesTest.kt
+++ b/src/test/kotlin/glenspool/core/SmallValuesTest.kt
@@ -97,6 +97,29 @@
         assertEquals(0, tooLarge)
     }
 
+    @Test
+    fun `of two stored places of a task the newer one counts, whichever shelf it is on`() {
+        val shelved = mapOf(0 to listOf(Intent(3, 1, "i-000001"), Intent(4, 9, "i-000004")), 1 to listOf(Intent(3, 7, "i-000002"), Intent(4, 2, "i-000003")))
+        step { jobStored(JobRecord(wide, now, 9, BitSet(), emptyList(), shelved = shelved), ++revision) }
+        val places = core.jobs.getValue("wide").placements
+        assertEquals(mapOf(3 to "i-000002", 4 to "i-000004"), places.mapValues { it.value.machine })
+        assertEquals(setOf("i-000002", "i-000004"), core.machines.values.filter { it.placements.isNotEmpty() }.map { it.id }.toSet())
+    }
+
+    @Test
+    fun `a result of a large job may be forgotten only when its own part is stored`() {
+        val large = job("large", tasks = 30_000)
+        step { typesKnown(listOf(glenspool.standin.bigType)) }
+        submit(large, listOf(0, 9_000, 18_000, 27_000).map { Intent(it, 1, "i-000001") }, last = 1)
+        val ended = listOf(0, 9_000, 18_000, 27_000).map { task("large", it, 1, glenspool.core.model.TaskState.EXITED, glenspool.core.model.Exit.DONE) }
+        say(report("i-000001", ended))
+        val write = store(wait(3.seconds)).writes.single() as SaveJob
+        confirm()
+        val forgotten = say(report("i-000001", ended)).first.filterIsInstance<glenspool.core.model.ForgetTask>().map { it.key.task }
+        assertEquals(write.chunks, forgotten.map { it / CHUNK })
+        assertEquals(2, forgotten.size)
+    }
+
     private fun inherited(): List<Action> = step {
         jobStored(JobRecord(wide, now, 400, BitSet(), (0 until 120).map { Intent(it, 100L + it, "i-%06d".format(it + 1)) }), ++revision)
     }
