--- a/src/main/kotlin/glenspool/api/UserApi.kt
+++ b/src/main/kotlin/glenspool/api/UserApi.kt
@@ -238,9 +238,7 @@
     private fun storePieces(record: JobRecord, patience: Patience): Pieces? {
         val id = record.spec.id
         val versions = LinkedHashMap<String, Long>()
-        val pieces = RecordWire.encodePieces(record, limits.valueBytes)
-        for (batch in pieces.withIndex().chunked(limits.txnOps)) {
-            val puts = batch.map { (n, p) -> Put(Keys.piece(id, n), p) }
+        for (puts in StoredJob.pieces(record, limits.valueBytes).chunked(limits.txnOps)) {
             while (true) {
                 // A late copy of this must not change the pieces of a job that was accepted since.
                 val r = state.transact(mapOf(Keys.job(id) to 0L, Keys.final(id) to 0L), puts)
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -39,7 +39,6 @@
 import glenspool.wire.FinalWire
 import glenspool.wire.ImagesWire
 import glenspool.wire.MalformedMessage
-import glenspool.wire.RecordWire
 import glenspool.wire.StateWire
 import glenspool.wire.count
 import glenspool.worker.WorkerClient
@@ -99,6 +98,8 @@
     private val state: StateClient,
     private val cloud: CloudClient,
     private val workers: WorkerClient,
+    /** Whether every controller reads records whose parts are stored apart. */
+    private val membersNew: () -> Boolean,
 ) : AutoCloseable {
     private class Session(val term: Term, val scheduler: Scheduler)
 
@@ -110,10 +111,6 @@
 
     private val stored = StoredJob(replica)
 
-    /** Whether every controller reads records whose parts are stored apart. */
-    @Volatile
-    var membersNew = false
-
     @Volatile
     var types: List<MachineType>? = null
 
@@ -197,7 +194,7 @@
             step { resumed(clock.elapsedNow() - since) }
         }
         step {
-            membersKnown(membersNew)
+            membersKnown(membersNew())
             tick()
         }
     }
@@ -278,7 +275,7 @@
         session = s
         pausedSince = null
         step {
-            membersKnown(membersNew)
+            membersKnown(membersNew())
             knownTypes()?.let { typesKnown(it) }
             imagesRemembered(replica.under(Keys.IMAGES).map(::rememberedImages).fold(emptyMap()) { x, y -> x + y })
             replica.under(Keys.JOB).forEach { applyChange(StateWire.Change(it.key, it.value, it.version)) }
@@ -435,9 +432,8 @@
     private fun tooLarge(term: Term, store: Store): StoreOutcome {
         val save = store.writes.singleOrNull() as? SaveJob
         if (save == null || save.record.pieces > 0) return StoreOutcome.TooLarge()
-        val pieces = RecordWire.encodePieces(save.record, settings.stateLimits.safe.valueBytes)
-        for ((n, batch) in pieces.chunked(settings.stateLimits.safe.txnOps).withIndex()) {
-            val puts = batch.mapIndexed { i, p -> Put(Keys.piece(save.id, n * settings.stateLimits.safe.txnOps + i), p) }
+        val pieces = StoredJob.pieces(save.record, settings.stateLimits.safe.valueBytes)
+        for (puts in pieces.chunked(settings.stateLimits.safe.txnOps)) {
             if (state.transact(mapOf(Keys.LEAD to term.mark), puts) !is StateResult.Ok) return StoreOutcome.TooLarge()
         }
         return StoreOutcome.TooLarge(mapOf(save.id to pieces.size))
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -38,7 +38,7 @@
     private val boot = "${wallClock().inWholeMilliseconds}-${java.lang.Long.toHexString(ThreadLocalRandom.current().nextLong())}"
     val replica = Replica(state, settings.stateLimits.safe.rps) { changes, _ -> loop.post(Event.Changes(changes)) }
     val leadership = Leadership(settings.node, boot, state, replica, { loop.post(Event.Elected(it)) }, { loop.post(Event.Deposed) })
-    private val loop: CoreLoop = CoreLoop(settings, tuning, replica, leadership, state, cloud, workers)
+    private val loop: CoreLoop = CoreLoop(settings, tuning, replica, leadership, state, cloud, workers) { membersNew }
 
     @Volatile
     private var peerStatuses: List<PeerStatus> = emptyList()
@@ -58,7 +58,6 @@
     private var internal: HttpListener? = null
 
     fun start() {
-        loop.membersNew = membersNew
         // Requests are taken as soon as the port is open; until the state is read they are told to come back.
         api = HttpListener(settings.apiAddr, "api", minOf(MAX_API_THREADS, settings.maxSockets / 3)) { r -> if (r.uri.path == "/checkin") workerApi(r) else userApi(r) }
         internal = HttpListener(settings.internalAddr, "peer", PEER_THREADS, PeerServer({ status() }, userApi::local))
@@ -123,7 +122,6 @@
         if (all.size < settings.members.size || all.any { it.reads < PeerStatus.SEALED }) return
         log.info("all controllers read sealed records")
         membersNew = true
-        loop.membersNew = true
     }
 
     /** The node that workers should report to; null if nobody is known to lead. */
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -163,13 +163,14 @@
         chains.appeared(record.spec.id)
         // Shelves are not all stored at the same moment: an older one may still name a task that has a newer place by now.
         val places = record.intents.map { it to Shelves.RECORD } + record.shelved.flatMap { (shelf, list) -> list.map { it to shelf } }
-        val (newest, outdated) = places.groupBy { it.first.task }.values.map { l -> l.sortedByDescending { it.first.attempt } }.let { all ->
-            all.map { it.first() } to
-                all.flatMap { it.drop(1) }
+        val outdated = ArrayList<Int>()
+        for (same in places.groupBy { it.first.task }.values) {
+            val newest = same.maxBy { it.first.attempt }
+            standing(job, newest.first, newest.second)
+            (same - newest).mapTo(outdated) { it.second }
         }
-        for ((i, shelf) in newest) standing(job, i, shelf)
         job.shelves.clean()
-        for ((_, shelf) in outdated) job.shelves.touched(shelf)
+        outdated.forEach(job.shelves::touched)
         if (job.spec.kind == JobKind.GANG && job.placements.isNotEmpty()) {
             job.gangAttempt = job.placements.values.maxOf { it.attempt }
             job.gangStarted = true
@@ -507,7 +508,7 @@
         val from = job.since
         if (wall - from > config.tuning.waitBound * (if (job.begun) 2 else 1)) return from - HOPELESS
         // A deadline follows from an estimate that is often wrong: such a job is never written off.
-        job.due?.let { return it - s.estimate * DEADLINE_MARGIN }
+        job.due?.let { return latestStart(job, it) }
         for (b in finishBounds[s.jobClass] ?: listOf(60.seconds + run)) {
             val latest = from + b - run
             if (latest >= wall) return latest
@@ -515,6 +516,9 @@
         return from + HOPELESS
     }
 
+    /** When the job has to begin to be done by then; estimates are often too short. */
+    fun latestStart(job: Job, due: Duration): Duration = due - job.spec.estimate * DEADLINE_MARGIN
+
     val finishBounds: Map<String, List<Duration>> = config.objectives
         .filter { it.kind == "finished" && it.jobClass != null && it.within != null }
         .groupBy({ it.jobClass.orEmpty() }, { it.within ?: Duration.ZERO })
--- a/src/main/kotlin/glenspool/core/cluster/Watch.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Watch.kt
@@ -143,14 +143,15 @@
     }
 
     /** When the first of the jobs was cancelled that have something on the machine. */
-    private fun cancelledSince(m: Machine): Duration? = cancelledOn(m).mapNotNull { it.cancelledAt }.minOrNull()
+    private fun cancelledSince(m: Machine): Duration? {
+        // Asked of every machine in every tick: it makes no lists.
+        var due: Duration? = null
+        for (p in m.placements.values) p.job.cancelledAt?.let { c -> due = minOf(due ?: c, c) }
+        for (k in m.strays.keys) core.jobs[k.job]?.cancelledAt?.let { c -> due = minOf(due ?: c, c) }
+        return due
+    }
 
-    private fun cancelledOn(m: Machine): List<Job> =
-        if (m.placements.isEmpty() && m.strays.isEmpty()) {
-            emptyList()
-        } else {
-            (m.placements.values.map { it.job } + m.strays.keys.mapNotNull { core.jobs[it.job] }).filter { it.cancelledAt != null }
-        }
+    private fun cancelledOn(m: Machine): List<Job> = (m.placements.values.map { it.job } + m.strays.keys.mapNotNull { core.jobs[it.job] }).filter { it.cancelledAt != null }
 
     private val overdueAskedAt = HashMap<String, Duration>()
 
--- a/src/main/kotlin/glenspool/core/lifecycle/Chains.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Chains.kt
@@ -47,10 +47,10 @@
             val live = core.job(n)
             when {
                 ends[n] == JobEnd.DONE -> h.open.remove(n)
-                ends[n] == JobEnd.CANCELLED -> cut(job.spec.id, n)
+                ends[n] == JobEnd.CANCELLED -> cut(listOf(job.spec.id), n)
                 live == null -> unknown.add(n)
-                live.cancelled -> cut(job.spec.id, n)
-                else -> live.cutBy?.let { cut(job.spec.id, it) }
+                live.cancelled -> cut(listOf(job.spec.id), n)
+                else -> live.cutBy?.let { cut(listOf(job.spec.id), it) }
             }
         }
         if (h.open.isEmpty()) release(h) else raise(needs)
@@ -136,36 +136,25 @@
         raise(h.needs)
     }
 
-    private fun cutAfter(id: String, by: String) {
-        // A chain may be hundreds of jobs deep: no recursion.
-        val next = ArrayDeque(listOf(id))
+    private fun cutAfter(id: String, by: String) = cut(dependents[id].orEmpty(), by)
+
+    /** Cuts these jobs off, and all that need them. A chain may be hundreds of jobs deep: no recursion. */
+    private fun cut(ids: Collection<String>, by: String) {
+        val next = ArrayDeque(ids)
         val freed = LinkedHashSet<String>()
         while (next.isNotEmpty()) {
-            for (d in dependents[next.removeFirst()].orEmpty()) {
-                val h = held[d] ?: continue
-                if (h.job.cutBy != null) continue
-                close(h.job, by)
-                freed.addAll(h.needs)
-                next.addLast(d)
-            }
+            val id = next.removeFirst()
+            val h = held[id] ?: continue
+            if (h.job.cutBy != null) continue
+            h.job.cutBy = by
+            h.job.touch()
+            core.note { "cut task=$id class=${h.job.spec.jobClass} by=$by" }
+            freed.addAll(h.needs)
+            next.addAll(dependents[id].orEmpty())
         }
         raise(freed)
     }
 
-    private fun close(job: Job, by: String) {
-        job.cutBy = by
-        job.touch()
-        core.note { "cut task=${job.spec.id} class=${job.spec.jobClass} by=$by" }
-    }
-
-    private fun cut(id: String, by: String) {
-        val h = held[id] ?: return
-        if (h.job.cutBy != null) return
-        close(h.job, by)
-        cutAfter(id, by)
-        raise(h.needs)
-    }
-
     /** Works out anew what [jobs] count, from those that need them, and so on up the chain where something changed. */
     private fun raise(jobs: Collection<String>) {
         val next = ArrayDeque(jobs)
@@ -188,12 +177,11 @@
         }
     }
 
-    /** When the job should begin: estimates are often too short, and it has to be placed and fetch its image first. */
-    private fun startBy(job: Job, due: Duration): Duration = due - job.spec.estimate * ESTIMATE_MARGIN - HANDOVER - core.fetchTime(job)
+    /** When what the job needs should be done: it has to be placed and fetch its image before it can begin. */
+    private fun startBy(job: Job, due: Duration): Duration = core.latestStart(job, due) - HANDOVER - core.fetchTime(job)
 
     private companion object {
         const val ASK_AT_ONCE = 8
-        const val ESTIMATE_MARGIN = 1.3
         val ASK_PAUSE = 1.seconds
 
         /** From one job's last result to the next one's start, without the fetch. */
--- a/src/main/kotlin/glenspool/state/StoredJob.kt
+++ b/src/main/kotlin/glenspool/state/StoredJob.kt
@@ -25,4 +25,9 @@
         }
         return r.copy(done = done)
     }
+
+    companion object {
+        /** What to store of a record whose description is too long for one value. */
+        fun pieces(r: JobRecord, valueBytes: Int): List<Put> = RecordWire.encodePieces(r, valueBytes).mapIndexed { n, p -> Put(Keys.piece(r.spec.id, n), p) }
+    }
 }
