Controllers tell each other of cancellations; no lease is kept past one that may be unknown

Cause: a cancellation was confirmed as soon as it was stored and nobody was told; a leader that the state service refused alone kept its workers' leases, and with them the cancelled tasks, for as long as the outage after it lasted.

Each node knows up to which moment it knows every confirmed cancellation, by reading the state service or from all others, and keeps a worker's lease only as long as none that it may not know of can be overdue. While nobody leads, every node asks the machines on which cancelled work was placed, stops it, and deletes the machine in the end.

--- a/src/main/kotlin/glenspool/api/LeaseKeeper.kt
+++ b/src/main/kotlin/glenspool/api/LeaseKeeper.kt
@@ -33,13 +33,14 @@
     }
 
     /**
-     * [knowsState]: this node has read the state at some time. [isolated]: it has lost the state service and every
-     * other node.
+     * [complete]: up to which moment this node knows every confirmed cancellation, null if it can't say (see `Cancellations`).
+     * [isolated]: it has lost the state service and every other node.
      */
-    fun keeps(machine: String, knowsState: Boolean, isolated: Boolean): Boolean = when {
-        // Without the state no cancellation is known. Tasks must not be kept alive past the time in which a job
-        // cancelled just before the start has to be gone.
-        !knowsState && elapsed() >= workers.cancel - workers.lease - 3.seconds -> false
+    fun keeps(machine: String, complete: Duration?, isolated: Boolean): Boolean = when {
+        // It has read nothing, and nobody who has could be asked: any of the worker's tasks may have been cancelled long ago.
+        complete == null -> false
+        // A lease kept now may last for all its time, and a task cancelled just after that moment has to be gone by then.
+        elapsed() >= complete + workers.cancel * (1 - DRIFT) - workers.lease - MARGIN -> false
         // One that comes from elsewhere has just found nobody there, and much of its lease has run out on the way.
         isolated && mayLetGo() && isServed(machine) -> letGo.asMap().putIfAbsent(machine, true) != null
         else -> true
@@ -87,6 +88,12 @@
         /** A large fleet is sent on within about so many seconds, well inside a lease: by then the leader must have heard all. */
         const val SENT_ON_WITHIN_S = 8
 
+        /** What the worker's clock and this one may drift apart, twice. */
+        const val DRIFT = 0.001
+
+        /** From the decision to the answer, and for timers that are late. */
+        val MARGIN = 1.seconds
+
         /** How long a worker waits for an answer, see PROTOCOL. */
         val WORKER_TIMEOUT = 4.seconds
     }
--- a/src/main/kotlin/glenspool/api/UserApi.kt
+++ b/src/main/kotlin/glenspool/api/UserApi.kt
@@ -51,6 +51,8 @@
     private val peers: PeerClient,
     private val isolated: () -> Boolean,
     private val membersNew: () -> Boolean,
+    /** Whether a user may be told of a stored cancellation by now: the other controllers have heard of it, or can't hear. */
+    private val confirm: (String) -> Boolean,
     private val types: () -> List<MachineType>?,
 ) : HttpHandler {
     private val teams = settings.teams.associateBy { it.name }
@@ -121,6 +123,9 @@
         data object None : Found
 
         data object Unreachable : Found
+
+        /** Its cancellation is stored, but nobody may be told yet. Nor may it be called live, since another node may have told. */
+        data object Unconfirmed : Found
     }
 
     /** The job's state at some moment after this call began. */
@@ -129,7 +134,7 @@
         if (!replica.sync(SYNC_TIMEOUT)) return Found.Unreachable
         // Read one by one, a cancelled job that is just being closed could look live and not cancelled.
         val (record, cancelled) = replica.atOnce { replica.get(Keys.job(id))?.let { stored.read(id, it.value) } to (replica.get(Keys.cancel(id)) != null) }
-        if (record != null) return if (cancelled) Found.Ended(JobWire.status(id, Stage.CANCELLED)) else live(id, record)
+        if (record != null) return if (cancelled) confirmed(id) else live(id, record)
         // Not live at a moment after the request came. A record moves from live to final in one transaction and
         // never back, so what isn't final now was not accepted at that moment.
         return when (val e = ends.read(id)) {
@@ -139,6 +144,8 @@
         }
     }
 
+    private fun confirmed(id: String): Found = if (confirm(id)) Found.Ended(JobWire.status(id, Stage.CANCELLED)) else Found.Unconfirmed
+
     /** What waits for a job that was cancelled counts as cancelled from that moment, whether anybody has stored that yet or not. */
     private fun live(id: String, record: JobRecord): Found {
         if (record.needs.isEmpty()) return Found.Live(record, emptyList())
@@ -154,6 +161,7 @@
         is Found.Ended -> cbor(Status.OK, f.body)
         Found.None -> error(Status.NOT_FOUND, "no such job: $id")
         Found.Unreachable -> null
+        Found.Unconfirmed -> tryLater()
     }
 
     private fun liveBody(f: Found.Live): Fields {
@@ -226,7 +234,7 @@
                 // It may have been stored: only a read tells.
                 is StateResult.Unknown, StateResult.Missing -> return when (val f = look(id)) {
                     is Found.Live, is Found.Ended -> answer(f, id)
-                    Found.None, Found.Unreachable -> tryLater()
+                    Found.None, Found.Unreachable, Found.Unconfirmed -> tryLater()
                 }
             }
         }
@@ -301,13 +309,14 @@
                 listOf(Put(Keys.cancel(id), mapOf("at" to wallClock().inWholeMilliseconds))),
             )
             when (r) {
-                is StateResult.Ok -> return cbor(Status.OK, JobWire.status(id, Stage.CANCELLED))
+                // Read back, so that this node knows all places that were stored before it: from now on none is.
+                is StateResult.Ok -> return answer(look(id), id) ?: tryLater()
                 is StateResult.Refused -> {
                     if (r.status != 429) return null
                     patience.wait()?.let { return it }
                 }
                 else -> return when (val f = look(id)) {
-                    is Found.Live, Found.Unreachable -> tryLater()
+                    is Found.Live, Found.Unreachable, Found.Unconfirmed -> tryLater()
                     else -> answer(f, id)
                 }
             }
--- a/src/main/kotlin/glenspool/api/WorkerApi.kt
+++ b/src/main/kotlin/glenspool/api/WorkerApi.kt
@@ -9,7 +9,6 @@
 import glenspool.core.model.TaskState
 import glenspool.http.bounded
 import glenspool.http.cbor
-import glenspool.state.Keys
 import glenspool.wire.Cbor
 import glenspool.wire.MalformedMessage
 import glenspool.wire.WorkerWire
@@ -20,12 +19,10 @@
 import org.http4k.core.Status
 import org.slf4j.LoggerFactory
 import kotlin.time.Duration
-import kotlin.time.TimeSource
 
 /** Takes workers' reports: the leader answers with orders, another node names the leader or keeps the lease. */
 class WorkerApi(private val settings: Settings, private val node: Node, private val loop: CoreLoop) : HttpHandler {
-    private val started = TimeSource.Monotonic.markNow()
-    private val keeper = LeaseKeeper(settings.workers, settings.members.size) { started.elapsedNow() }
+    private val keeper = LeaseKeeper(settings.workers, settings.members.size, node::uptime)
 
     override fun invoke(request: Request): Response {
         if (request.method != Method.POST) return cbor(Status.METHOD_NOT_ALLOWED, emptyMap())
@@ -39,7 +36,7 @@
         loop.report(report)?.let { return answer(report, it.token, it.commands) }
         val leader = node.leaderToName()
         if (leader != null && keeper.sendsOn(report.machine)) return cbor(MISDIRECTED, WorkerWire.redirect(leader))
-        if (!keeper.keeps(report.machine, node.replica.age() != null, node.isolated())) return cbor(Status.SERVICE_UNAVAILABLE, emptyMap())
+        if (!keeper.keeps(report.machine, node.cancellations.complete(), node.isolated())) return cbor(Status.SERVICE_UNAVAILABLE, emptyMap())
         // Nobody is known to lead, or not to be sent to now. Answering with the worker's own token starts nothing and keeps its tasks alive.
         return answer(report, report.token, stopsOfCancelled(report))
     }
@@ -51,7 +48,7 @@
 
     /** A cancelled job stays cancelled, so any node may have its tasks stopped, with whatever token is in force. */
     private fun stopsOfCancelled(r: Report): List<Command> = r.tasks
-        .filter { it.state != TaskState.EXITED && node.replica.get(Keys.cancel(it.key.job)) != null }
+        .filter { it.state != TaskState.EXITED && node.cancellations.knows(it.key.job) }
         .map { StopTask(it.key, it.attempt, Duration.ZERO) }
 
     companion object {
--- a/src/main/kotlin/glenspool/cli/Rehearsal.kt
+++ b/src/main/kotlin/glenspool/cli/Rehearsal.kt
@@ -4,6 +4,7 @@
 import glenspool.http.HttpCaller
 import glenspool.http.HttpListener
 import glenspool.http.cbor
+import glenspool.peer.CancelMessage
 import glenspool.peer.PeerClient
 import glenspool.peer.RelayRequest
 import glenspool.wire.Cbor
@@ -47,8 +48,10 @@
             file.writeText(settings(api, internal, outside.port))
             begin(listOf("--config", file.path)).use {
                 play("127.0.0.1:$api", "127.0.0.1:${outside.port}")
-                val itself = PeerClient(listOf(Member("itself", "here", InetSocketAddress("127.0.0.1", internal))))
+                val member = Member("itself", "here", InetSocketAddress("127.0.0.1", internal))
+                val itself = PeerClient(listOf(member))
                 itself.statuses()
+                itself.exchange(member, CancelMessage("itself", "0", 0, listOf(CancelMessage.Entry("run-000001", 0, 0)), 0, 1, true, 0, 0, "0", 0))
                 itself.relay(RelayRequest("GET", "/api/jobs/run-000001", ByteArray(0)), 2.seconds)
             }
         } finally {
--- /dev/null
+++ b/src/main/kotlin/glenspool/controller/CancelExchange.kt
@@ -0,0 +1,131 @@
+package glenspool.controller
+
+import glenspool.config.Member
+import glenspool.core.cluster.CancelNews
+import glenspool.core.cluster.Cancellation
+import glenspool.core.cluster.Cancellations
+import glenspool.core.cluster.Heard
+import glenspool.peer.CancelMessage
+import glenspool.peer.PeerClient
+import glenspool.state.Keys
+import glenspool.wire.MalformedMessage
+import glenspool.wire.StateWire
+import glenspool.wire.count
+import org.slf4j.LoggerFactory
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** Tells the other controllers of cancellations, and asks them for theirs: at once when there is one, and by and by. */
+class CancelExchange(
+    private val node: String,
+    private val cancellations: Cancellations,
+    private val peers: PeerClient,
+    private val uptime: () -> Duration,
+    /** Whether the state service can't tell this node. */
+    private val stale: () -> Boolean,
+    private val learnt: (List<Cancellation>) -> Unit,
+) {
+    private val lock = ReentrantLock()
+    private val changed = lock.newCondition()
+
+    /** The state service told of these. */
+    fun stored(changes: List<StateWire.Change>) {
+        var any = false
+        for (c in changes) {
+            val value = c.value ?: continue
+            if (!c.key.startsWith(Keys.CANCEL)) continue
+            try {
+                any = cancellations.add(Cancellation(c.key.removePrefix(Keys.CANCEL), value.count("at").milliseconds, c.version)) || any
+            } catch (e: MalformedMessage) {
+                log.error("stored record {} is not readable", c.key, e)
+            }
+        }
+        if (any) wake()
+    }
+
+    private fun wake() = lock.withLock { changed.signalAll() }
+
+    /** The duty that keeps up with one other controller. */
+    fun run(member: Member) {
+        while (true) {
+            val answered = once(member)
+            lock.withLock {
+                // One that does not answer is tried again after a pause, whatever there is to tell.
+                if (!answered) {
+                    changed.await(RETRY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+                } else if (!cancellations.lacks(member.name)) {
+                    changed.await((if (stale()) RETRY else EVERY).inWholeMilliseconds, TimeUnit.MILLISECONDS)
+                }
+            }
+        }
+    }
+
+    private fun once(member: Member): Boolean {
+        val asked = uptime()
+        return when (val r = peers.exchange(member, message(cancellations.newsFor(member.name)))) {
+            is PeerClient.Exchange.Answered -> {
+                take(cancellations.answered(member.name, news(r.message), asked))
+                wake()
+                true
+            }
+            PeerClient.Exchange.Old -> {
+                cancellations.isOld(member.name)
+                wake()
+                false
+            }
+            PeerClient.Exchange.None -> false
+        }
+    }
+
+    /** What another controller says by itself, and the answer to it; null if it is none of ours. */
+    fun answer(m: CancelMessage): CancelMessage? {
+        val (answer, fresh) = cancellations.answer(m.node, news(m)) ?: return null
+        take(fresh)
+        return message(answer)
+    }
+
+    private fun take(fresh: List<Cancellation>) {
+        if (fresh.isEmpty()) return
+        log.info("cancellations heard of jobs={}", fresh.map { it.job })
+        learnt(fresh)
+        wake()
+    }
+
+    /** Waits a moment until a user may be told that the job is cancelled; false: not yet. */
+    fun confirm(job: String): Boolean {
+        val begun = TimeSource.Monotonic.markNow()
+        while (true) {
+            lock.withLock {
+                if (cancellations.confirmable(job)) return true
+                val left = PATIENCE - begun.elapsedNow()
+                if (left <= Duration.ZERO) return false
+                changed.await(left.inWholeMilliseconds + 1, TimeUnit.MILLISECONDS)
+            }
+        }
+    }
+
+    private fun message(n: CancelNews) = CancelMessage(
+        node, n.boot, n.uptime.inWholeMilliseconds, n.entries.map { CancelMessage.Entry(it.job, it.at.inWholeMilliseconds, it.version) }, n.base, n.upTo, n.whole,
+        // Rounded to the safe side.
+        n.completeAge?.let { it.inWholeMilliseconds + 1 }, n.contactAge.inWholeMilliseconds + 1, n.heard?.boot, n.heard?.upTo ?: 0,
+    )
+
+    private fun news(m: CancelMessage) = CancelNews(
+        m.boot, m.uptime.milliseconds, m.entries.map { Cancellation(it.job, it.at.milliseconds, it.version) }, m.base, m.upTo, m.whole,
+        m.completeAge?.milliseconds, m.contactAge.milliseconds, m.heardBoot?.let { Heard(it, m.heardUpTo) },
+    )
+
+    private companion object {
+        val log = LoggerFactory.getLogger(CancelExchange::class.java)
+
+        /** While the state service tells everybody, the exchange only has to show that the other one is there. */
+        val EVERY = 2.seconds
+        val RETRY = 500.milliseconds
+        val PATIENCE = 600.milliseconds
+    }
+}
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -20,6 +20,7 @@
 import glenspool.core.Store
 import glenspool.core.StoreOutcome
 import glenspool.core.Tuning
+import glenspool.core.cluster.Cancellation
 import glenspool.core.cluster.Overdue
 import glenspool.core.model.Command
 import glenspool.core.model.JobEnd
@@ -64,6 +65,9 @@
 
     data class Changes(val changes: List<StateWire.Change>) : Event
 
+    /** Another node told of these, which the state service may not have told this one. */
+    data class Cancelled(val list: List<Cancellation>) : Event
+
     data class Reported(val report: Report, val answer: CompletableFuture<Orders?>) : Event
 
     data class DirectEnded(val sent: Direct, val outcome: DirectOutcome, val report: Report?, val term: Term) : Event
@@ -219,6 +223,7 @@
             is Event.Elected -> begin(e.term)
             Event.Deposed -> session = null
             is Event.Changes -> step { e.changes.forEach { applyChange(it) } }
+            is Event.Cancelled -> step { e.list.forEach { jobCancelled(it.job, it.version, it.at) } }
             is Event.Reported -> answer(e)
             // An earlier term's call says nothing of this term's.
             is Event.DirectEnded -> if (session?.term == e.term) step { directEnded(e.sent.machine, e.sent, e.outcome, e.report) }
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -5,6 +5,7 @@
 import glenspool.cloud.CloudClient
 import glenspool.config.Settings
 import glenspool.core.Tuning
+import glenspool.core.cluster.Cancellations
 import glenspool.http.HttpCaller
 import glenspool.http.HttpListener
 import glenspool.http.hostPort
@@ -36,7 +37,13 @@
      * It is no secret; a secure generator would cost a tenth of the start-up.
      */
     private val boot = "${wallClock().inWholeMilliseconds}-${java.lang.Long.toHexString(ThreadLocalRandom.current().nextLong())}"
-    val replica = Replica(state, settings.stateLimits.safe.rps) { changes, _ -> loop.post(Event.Changes(changes)) }
+    private val clock = TimeSource.Monotonic.markNow()
+    val cancellations = Cancellations(boot, settings.members.map { it.name }, settings.workers.cancel * 4, ::uptime, ::wallClock)
+    private val exchange = CancelExchange(settings.node, cancellations, peers, ::uptime, ::stale) { loop.post(Event.Cancelled(it)) }
+    val replica = Replica(state, settings.stateLimits.safe.rps, { cancellations.stateRead(uptime() - it) }) { changes, _ ->
+        exchange.stored(changes)
+        loop.post(Event.Changes(changes))
+    }
     val leadership = Leadership(settings.node, boot, state, replica, { loop.post(Event.Elected(it)) }, { loop.post(Event.Deposed) })
     private val loop: CoreLoop = CoreLoop(settings, tuning, replica, leadership, state, cloud, workers) { membersNew }
 
@@ -52,15 +59,16 @@
     @Volatile
     private var membersNew = settings.members.isEmpty()
     private var membersAskedAt = TimeSource.Monotonic.markNow() - MEMBERS_LOOK
-    private val userApi = UserApi(settings, state, replica, peers, ::isolated, { membersNew }) { loop.knownTypes() }
+    private val userApi = UserApi(settings, state, replica, peers, ::isolated, { membersNew }, exchange::confirm) { loop.knownTypes() }
     private val workerApi = WorkerApi(settings, this, loop)
+    private val overdue = OverdueWork(settings.workers.cancel, cancellations, replica, cloud, workers, { leadership.current() != null || leaderToName() != null }, ::wallClock)
     private var api: HttpListener? = null
     private var internal: HttpListener? = null
 
     fun start() {
         // Requests are taken as soon as the port is open; until the state is read they are told to come back.
         api = HttpListener(settings.apiAddr, "api", minOf(MAX_API_THREADS, settings.maxSockets / 3)) { r -> if (r.uri.path == "/checkin") workerApi(r) else userApi(r) }
-        internal = HttpListener(settings.internalAddr, "peer", PEER_THREADS, PeerServer({ status() }, userApi::local))
+        internal = HttpListener(settings.internalAddr, "peer", PEER_THREADS, PeerServer({ status() }, exchange::answer, userApi::local))
         duties.start("state-watch") { replica.follow() }
         duties.start("state-sync") { replica.serveSyncs() }
         duties.start("leadership") { leadership.run() }
@@ -69,6 +77,8 @@
         duties.start("writer") { loop.write() }
         duties.start("peers") { watchPeers() }
         duties.start("sweep") { sweepWhileLeading() }
+        settings.members.forEach { m -> duties.start("cancel-${m.name}") { exchange.run(m) } }
+        duties.start("overdue") { overdue.run() }
         log.info("started node={} zone={} api={}", settings.node, settings.zone, settings.apiAddr.hostPort())
     }
 
@@ -86,9 +96,13 @@
         api?.close()
         internal?.close()
         duties.close()
+        overdue.close()
         loop.close()
     }
 
+    /** Since the start of this process, by the steady clock. */
+    fun uptime(): Duration = clock.elapsedNow()
+
     /** Whether this node's copy of the state is recent enough to say who leads. */
     fun fresh(): Boolean = replica.age().let { it != null && it < FRESH }
 
--- /dev/null
+++ b/src/main/kotlin/glenspool/controller/OverdueWork.kt
@@ -0,0 +1,104 @@
+package glenspool.controller
+
+import glenspool.cloud.CloudClient
+import glenspool.core.Direct
+import glenspool.core.DirectOutcome
+import glenspool.core.cluster.Cancellations
+import glenspool.core.cluster.CancelledWork
+import glenspool.core.cluster.Suspect
+import glenspool.http.CallPool
+import glenspool.state.Keys
+import glenspool.state.Replica
+import glenspool.state.StoredJob
+import glenspool.wire.MalformedMessage
+import glenspool.worker.WorkerClient
+import org.slf4j.LoggerFactory
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * While nobody is known to lead, every controller sees to it that cancelled work is gone in time, wherever its copy of the
+ * state says that it was placed: it asks the machines, has the work stopped, and in the end deletes the machine. None of
+ * this starts anything, so it needs no leadership; whoever leads next sees machines that are free or gone.
+ */
+class OverdueWork(
+    cancel: Duration,
+    private val cancellations: Cancellations,
+    private val replica: Replica,
+    private val cloud: CloudClient,
+    private val workers: WorkerClient,
+    private val isLed: () -> Boolean,
+    private val wall: () -> Duration,
+) : AutoCloseable {
+    private val work = CancelledWork(cancel)
+    private val stored = StoredJob(replica)
+    private val pool = CallPool("overdue", THREADS, QUEUED)
+    private val asked = ConcurrentHashMap.newKeySet<String>()
+
+    fun run() {
+        while (true) {
+            Thread.sleep(EVERY.inWholeMilliseconds)
+            if (!isLed()) look()
+        }
+    }
+
+    private fun look() {
+        val due = work.due(wall(), cancellations.all(), ::machinesOf)
+        if (due.isEmpty()) return
+        // Without the cloud a machine's address is not known here, and it can't be deleted either: it is asked for again.
+        val addresses = cloud.machines()?.associate { it.id to it.addr }
+        log.info("cancelled work without a leader machines={} cloud={}", due.map { it.machine }, addresses != null)
+        if (addresses == null) return
+        for (s in due) {
+            if (!asked.add(s.machine)) continue
+            val taken = pool.run {
+                try {
+                    see(s, addresses[s.machine].orEmpty())
+                } finally {
+                    asked.remove(s.machine)
+                }
+            }
+            if (!taken) asked.remove(s.machine)
+        }
+        val late = work.late(wall())
+        for (machines in late.chunked(MOST_DELETED)) {
+            val ok = cloud.delete(machines)
+            log.info("delete machines={} reason=cancelled-work leading=false ok={}", machines, ok)
+            if (ok) machines.forEach(work::gone)
+        }
+    }
+
+    private fun machinesOf(job: String): List<String> {
+        val item = replica.get(Keys.job(job)) ?: return emptyList()
+        return try {
+            val record = replica.atOnce { stored.read(job, item.value) }
+            (record.intents + record.shelved.values.flatten()).map { it.machine }
+        } catch (e: MalformedMessage) {
+            log.error("stored record of {} is not readable", job, e)
+            emptyList()
+        }
+    }
+
+    private fun see(s: Suspect, addr: String) {
+        val report = if (addr.isEmpty()) null else workers.show(addr)?.takeIf { it.machine == s.machine }
+        val stops = work.seen(s, report)
+        if (report == null || stops.isEmpty()) return
+        // With the worker's own token: it starts nothing, and a cancellation is for ever.
+        val (outcome, after) = workers.command(Direct(s.machine, addr, report.token, report.session, stops))
+        log.info("stop machine={} commands={} reason=cancelled-work leading=false outcome={}", s.machine, stops, outcome)
+        if (outcome == DirectOutcome.DONE) work.seen(s, after)
+    }
+
+    override fun close() = pool.close()
+
+    private companion object {
+        val log = LoggerFactory.getLogger(OverdueWork::class.java)
+        val EVERY = 1.seconds
+        const val THREADS = 16
+        const val QUEUED = 1000
+
+        /** So many names a request to the cloud may hold. */
+        const val MOST_DELETED = 100
+    }
+}
--- a/src/main/kotlin/glenspool/peer/PeerServer.kt
+++ b/src/main/kotlin/glenspool/peer/PeerServer.kt
@@ -8,27 +8,36 @@
 import org.slf4j.LoggerFactory
 
 /** What a controller answers to the others. */
-class PeerServer(private val status: () -> PeerStatus, private val serve: (RelayRequest) -> RelayAnswer) : HttpHandler {
+class PeerServer(
+    private val status: () -> PeerStatus,
+    /** Null: the other is no member. */
+    private val cancellations: (CancelMessage) -> CancelMessage?,
+    private val serve: (RelayRequest) -> RelayAnswer,
+) : HttpHandler {
     override fun invoke(request: Request): Response = when {
         request.uri.path == PeerPaths.STATUS && request.method == Method.GET -> ok(PeerWire.encode(status()))
         (request.uri.path == PeerPaths.RELAY || request.uri.path == PeerPaths.RELAY_CHAINED) && request.method == Method.POST -> relay(request)
+        request.uri.path == PeerPaths.CANCELLATIONS && request.method == Method.POST ->
+            answered(request, PeerWire::cancellations) { m -> cancellations(m)?.let { PeerWire.encode(it) } }
         else -> Response(Status.NOT_FOUND)
     }
 
-    private fun relay(request: Request): Response {
-        val r = try {
-            PeerWire.relayRequest(request.body.stream.readNBytes(MAX_RELAY))
+    private fun relay(request: Request): Response = answered(request, PeerWire::relayRequest) { PeerWire.encode(serve(it)) }
+
+    private fun <T> answered(request: Request, read: (ByteArray) -> T, answer: (T) -> ByteArray?): Response {
+        val m = try {
+            read(request.body.stream.readNBytes(MAX_BYTES))
         } catch (e: kotlinx.serialization.SerializationException) {
-            log.warn("relayed request not understood: {}", e.toString())
+            log.warn("{} not understood: {}", request.uri.path, e.toString())
             return Response(Status.BAD_REQUEST)
         }
-        return ok(PeerWire.encode(serve(r)))
+        return answer(m)?.let(::ok) ?: Response(Status.BAD_REQUEST)
     }
 
     private fun ok(bytes: ByteArray) = Response(Status.OK).body(bytes.inputStream(), bytes.size.toLong())
 
     companion object {
         private val log = LoggerFactory.getLogger(PeerServer::class.java)
-        private const val MAX_RELAY = 256 * 1024
+        private const val MAX_BYTES = 256 * 1024
     }
 }
--- a/src/main/kotlin/glenspool/peer/Peers.kt
+++ b/src/main/kotlin/glenspool/peer/Peers.kt
@@ -37,6 +37,25 @@
 @Serializable
 data class RelayAnswer(val status: Int, val body: ByteArray, val retryAfter: String?)
 
+/** See `glenspool.core.cluster.CancelNews`; spans and times of day are in milliseconds. */
+@Serializable
+data class CancelMessage(
+    val node: String,
+    val boot: String,
+    val uptime: Long,
+    val entries: List<Entry>,
+    val base: Long,
+    val upTo: Long,
+    val whole: Boolean,
+    val completeAge: Long?,
+    val contactAge: Long,
+    val heardBoot: String?,
+    val heardUpTo: Long,
+) {
+    @Serializable
+    data class Entry(val job: String, val at: Long, val version: Long)
+}
+
 /** Where controllers ask each other. A path that a version does not know gets 404, and the next one is asked. */
 object PeerPaths {
     const val STATUS = "/peer/status"
@@ -44,6 +63,9 @@
 
     /** Submissions that wait for others: a version that does not know them would start them at once. */
     const val RELAY_CHAINED = "/peer/relay-chained"
+
+    /** What each knows of cancellations. A version that does not know it neither hears nor tells. */
+    const val CANCELLATIONS = "/peer/cancellations"
 }
 
 @OptIn(ExperimentalSerializationApi::class)
@@ -56,6 +78,10 @@
 
     fun encode(a: RelayAnswer): ByteArray = cbor.encodeToByteArray(a)
 
+    fun encode(m: CancelMessage): ByteArray = cbor.encodeToByteArray(m)
+
+    fun cancellations(b: ByteArray): CancelMessage = cbor.decodeFromByteArray(b)
+
     fun status(b: ByteArray): PeerStatus = cbor.decodeFromByteArray(b)
 
     fun relayRequest(b: ByteArray): RelayRequest = cbor.decodeFromByteArray(b)
@@ -66,21 +92,42 @@
 /** Requests to the other controllers. They are hints and relays only: no rule rests on a peer's silence. */
 class PeerClient(private val members: List<Member>) {
     fun statuses(): List<PeerStatus> = members.mapNotNull { m ->
-        call(m, PeerPaths.STATUS, null, 700.milliseconds)?.let { PeerWire.status(it) }
+        call(m, PeerPaths.STATUS, null, 700.milliseconds, PeerWire::status)
     }
 
-    /** Asks the others in turn; the first that took the request answers for all. */
-    /** [path]: which versions take it, see [PeerPaths]. */
+    /** How an exchange of what is known of cancellations ended. */
+    sealed interface Exchange {
+        data class Answered(val message: CancelMessage) : Exchange
+
+        /** It is there, and of a version that does not know this. */
+        data object Old : Exchange
+
+        data object None : Exchange
+    }
+
+    fun exchange(with: Member, message: CancelMessage): Exchange {
+        val (status, answer) = request(with, PeerPaths.CANCELLATIONS, PeerWire.encode(message), EXCHANGE_TIMEOUT, PeerWire::cancellations) ?: return Exchange.None
+        return when {
+            answer != null -> Exchange.Answered(answer)
+            status == NOT_FOUND -> Exchange.Old
+            else -> Exchange.None
+        }
+    }
+
+    /** Asks the others in turn; the first that took the request answers for all. [path]: which versions take it, see [PeerPaths]. */
     fun relay(r: RelayRequest, timeout: Duration, path: String = PeerPaths.RELAY): RelayAnswer? {
         val bytes = PeerWire.encode(r)
         for (m in members) {
-            val a = call(m, path, bytes, timeout)?.let { PeerWire.relayAnswer(it) } ?: continue
+            val a = call(m, path, bytes, timeout, PeerWire::relayAnswer) ?: continue
             if (a.status < 500) return a
         }
         return null
     }
 
-    private fun call(m: Member, path: String, body: ByteArray?, timeout: Duration): ByteArray? {
+    private fun <T> call(m: Member, path: String, body: ByteArray?, timeout: Duration, read: (ByteArray) -> T): T? = request(m, path, body, timeout, read)?.second
+
+    /** The status, and what was read of a 200. Null: no answer, or one that can't be read. */
+    private fun <T> request(m: Member, path: String, body: ByteArray?, timeout: Duration, read: (ByteArray) -> T): Pair<Int, T?>? {
         val c = URI("http://${m.addr.hostPort()}$path").toURL().openConnection() as HttpURLConnection
         return try {
             c.connectTimeout = 400
@@ -92,7 +139,8 @@
                 c.setFixedLengthStreamingMode(body.size)
                 c.outputStream.use { it.write(body) }
             }
-            if (c.responseCode == 200) c.inputStream.use { it.readAllBytes() } else null
+            val status = c.responseCode
+            status to if (status == 200) read(c.inputStream.use { it.readAllBytes() }) else null
         } catch (e: IOException) {
             log.debug("peer {} did not answer: {}", m.name, e.toString())
             null
@@ -104,5 +152,7 @@
 
     companion object {
         private val log = LoggerFactory.getLogger(PeerClient::class.java)
+        private val EXCHANGE_TIMEOUT = 700.milliseconds
+        private const val NOT_FOUND = 404
     }
 }
--- a/src/main/kotlin/glenspool/state/Replica.kt
+++ b/src/main/kotlin/glenspool/state/Replica.kt
@@ -29,7 +29,13 @@
  * a user's request by [sync]: a watch that doesn't wait answers with all changes up to the present revision,
  * which is evidence that no answer from memory could give.
  */
-class Replica(private val client: StateClient, rps: Double, private val changed: (List<StateWire.Change>, Long) -> Unit) : LiveKeys {
+class Replica(
+    private val client: StateClient,
+    rps: Double,
+    /** The present state was read, by a request that was sent so long ago. */
+    private val read: (Duration) -> Unit = {},
+    private val changed: (List<StateWire.Change>, Long) -> Unit,
+) : LiveKeys {
     private val entries = ConcurrentSkipListMap<String, StateWire.Item>()
     private var revision = -1L
     private val waiters = LinkedBlockingQueue<CompletableFuture<Boolean>>()
@@ -88,10 +94,13 @@
     private fun refresh(wait: Duration): Boolean {
         val from = synchronized(this) { revision }
         if (from < 0) return load()
+        val sent = TimeSource.Monotonic.markNow()
         return when (val r = client.follow(Keys.LIVE, from, wait)) {
             is StateResult.Ok -> {
                 apply(r.value)
                 lastAnswer = TimeSource.Monotonic.markNow()
+                // A watch that waited may have been answered just before something changed again.
+                read(sent.elapsedNow())
                 true
             }
             is StateResult.Refused -> {
@@ -119,6 +128,7 @@
     /** Reads everything anew. Changes made meanwhile are replayed by the next [refresh]. */
     private fun load(): Boolean {
         val all = HashMap<String, StateWire.Item>()
+        val sent = TimeSource.Monotonic.markNow()
         var after: String? = null
         var first = -1L
         while (true) {
@@ -141,6 +151,7 @@
             changed(changes, first)
         }
         lastAnswer = TimeSource.Monotonic.markNow()
+        read(sent.elapsedNow())
         log.info("state loaded keys={} revision={}", all.size, first)
         return true
     }
--- a/src/test/kotlin/glenspool/api/AdaptersTest.kt
+++ b/src/test/kotlin/glenspool/api/AdaptersTest.kt
@@ -121,7 +121,7 @@
         val status = PeerStatus("n1", true, "n1", true)
         HttpListener(
             InetSocketAddress("127.0.0.1", 0), "peer", 4,
-            PeerServer({ status }) {
+            PeerServer({ status }, { null }) {
                 got = it
                 answered
             },
--- a/src/test/kotlin/glenspool/api/LeaseKeeperTest.kt
+++ b/src/test/kotlin/glenspool/api/LeaseKeeperTest.kt
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** For how long a node without a leader keeps workers' leases, in simulated time. */
@@ -18,16 +19,16 @@
         val k = keeper()
         k.served("m1")
         k.served("m2")
-        assertFalse(k.keeps("m1", knowsState = true, isolated = true))
-        assertFalse(k.keeps("m2", knowsState = true, isolated = true))
+        assertFalse(k.keeps("m1", complete = now, isolated = true))
+        assertFalse(k.keeps("m2", complete = now, isolated = true))
         now += 11.seconds
         // It found nobody else: its tasks must not die.
-        assertTrue(k.keeps("m1", knowsState = true, isolated = true))
+        assertTrue(k.keeps("m1", complete = now, isolated = true))
         k.served("m1")
         now += 13.seconds
         k.served("m1")
         // A leader may be there by now.
-        assertFalse(k.keeps("m1", knowsState = true, isolated = true))
+        assertFalse(k.keeps("m1", complete = now, isolated = true))
     }
 
     @Test
@@ -38,7 +39,7 @@
         // The other two nodes never answer: 4 s each and 1 s between.
         while (now < 300.seconds) {
             now += 5.seconds
-            if (k.keeps("m1", knowsState = true, isolated = true)) {
+            if (k.keeps("m1", complete = now, isolated = true)) {
                 k.served("m1")
                 longest = maxOf(longest, now - answered)
                 answered = now
@@ -53,12 +54,12 @@
     fun `a worker that found nobody elsewhere is kept at once`() {
         val k = keeper()
         // Cut off with its zone it has waited for two nodes in vain already; another vain round would outlast its lease.
-        assertTrue(k.keeps("m1", knowsState = true, isolated = true))
+        assertTrue(k.keeps("m1", complete = now, isolated = true))
         k.served("m1")
         now += 4.seconds
-        assertFalse(k.keeps("m1", knowsState = true, isolated = true))
+        assertFalse(k.keeps("m1", complete = now, isolated = true))
         now += 11.seconds
-        assertTrue(k.keeps("m1", knowsState = true, isolated = true))
+        assertTrue(k.keeps("m1", complete = now, isolated = true))
     }
 
     @Test
@@ -66,24 +67,36 @@
         val k = keeper()
         repeat(50) {
             now += 4.seconds
-            assertTrue(k.keeps("m1", knowsState = true, isolated = false))
+            assertTrue(k.keeps("m1", complete = now, isolated = false))
         }
     }
 
     @Test
     fun `workers are not let go where their lease would not outlast the way round`() {
         val k = keeper(lease = 12.seconds)
-        assertEquals(List(9) { true }, List(9) { k.keeps("m1", knowsState = true, isolated = true) })
+        assertEquals(List(9) { true }, List(9) { k.keeps("m1", complete = now, isolated = true) })
     }
 
     @Test
-    fun `a node that never read the state keeps nothing past the time of a cancellation it can't know of`() {
+    fun `a node that knows nothing of cancellations keeps no lease, since any task may have been cancelled long ago`() {
         val k = keeper()
-        now = 21.seconds
-        assertTrue(k.keeps("m1", knowsState = false, isolated = false))
-        now = 22.seconds
-        assertFalse(k.keeps("m1", knowsState = false, isolated = false))
-        assertTrue(k.keeps("m1", knowsState = true, isolated = false))
+        assertFalse(k.keeps("m1", complete = null, isolated = false))
+        assertTrue(k.keeps("m1", complete = now, isolated = false))
+    }
+
+    @Test
+    fun `no lease that is kept outlasts the time of a cancellation that this node may not know of`() {
+        val k = keeper()
+        val complete = 100.seconds
+        now = 123.seconds
+        assertTrue(k.keeps("m1", complete, isolated = false))
+        while (now < 200.seconds) {
+            now += 100.milliseconds
+            if (k.keeps("m1", complete, isolated = false)) assertTrue(now + 24.seconds < complete + 49.seconds, "kept at $now")
+        }
+        assertFalse(k.keeps("m1", complete, isolated = false))
+        // Up to when nothing can have been confirmed unheard may lie ahead.
+        assertTrue(k.keeps("m1", now + 5.seconds, isolated = false))
     }
 
     @Test
--- a/src/test/kotlin/glenspool/api/UserApiTest.kt
+++ b/src/test/kotlin/glenspool/api/UserApiTest.kt
@@ -113,8 +113,8 @@
         val peersClient = StateClient("127.0.0.1:${reachable.port}", http)
         val peersReplica = Replica(peersClient, 1000.0) { _, _ -> }
         val peersSyncs = syncing(peersReplica)
-        val peersApi = UserApi(settings, peersClient, peersReplica, PeerClient(emptyList()), { false }, { true }) { types }
-        val peer = HttpListener(InetSocketAddress("127.0.0.1", 0), "peer", 4, PeerServer({ PeerStatus("n1", false, null, true) }, peersApi::local))
+        val peersApi = UserApi(settings, peersClient, peersReplica, PeerClient(emptyList()), { false }, { true }, { true }) { types }
+        val peer = HttpListener(InetSocketAddress("127.0.0.1", 0), "peer", 4, PeerServer({ PeerStatus("n1", false, null, true) }, { null }, peersApi::local))
         members = listOf(Member("n1", "here", InetSocketAddress("127.0.0.1", peer.port)))
         outside.close()
         assertEquals(201, submit(spec("run-1")).status)
@@ -140,6 +140,22 @@
         assertEquals("pending", show("run-1").body["stage"])
     }
 
+    @Test
+    fun `a cancellation that other controllers have not heard of is neither confirmed nor denied`() {
+        assertEquals(201, submit(spec("run-1")).status)
+        confirmable = false
+        assertEquals(503, withdraw("run-1").status)
+        // Another node may have confirmed it by now: live would be an older answer.
+        assertEquals(503, show("run-1").status)
+        assertEquals(503, submit(spec("run-1")).status)
+        confirmable = true
+        assertEquals("aborted", withdraw("run-1").body["stage"])
+        // Once its end is stored, its tasks are gone: there is nothing left to tell.
+        confirmable = false
+        end("run-1", "cancelled")
+        assertEquals("aborted", show("run-1").body["stage"])
+    }
+
     @Test
     fun `a job of 100,000 tasks is taken`() {
         assertEquals(201, submit(spec("run-1", tasks = 100_000)).status)
--- a/src/test/kotlin/glenspool/standin/ServedApi.kt
+++ b/src/test/kotlin/glenspool/standin/ServedApi.kt
@@ -39,8 +39,9 @@
     protected var members = emptyList<Member>()
     protected var membersNew = true
     protected var cutOff = false
+    protected var confirmable = true
     private val node by lazy {
-        HttpListener(InetSocketAddress("127.0.0.1", 0), "api", 8, UserApi(settings, client, replica, PeerClient(members), { cutOff }, { membersNew }) { types })
+        HttpListener(InetSocketAddress("127.0.0.1", 0), "api", 8, UserApi(settings, client, replica, PeerClient(members), { cutOff }, { membersNew }, { confirmable }) { types })
     }
     protected val addr get() = "127.0.0.1:${node.port}"
 
--- a/src/test/kotlin/glenspool/upgrade/UpgradeTest.kt
+++ b/src/test/kotlin/glenspool/upgrade/UpgradeTest.kt
@@ -130,7 +130,7 @@
                 Response(Status.NOT_FOUND)
             }
         })
-        val new = HttpListener(InetSocketAddress("127.0.0.1", 0), "new", 4, PeerServer({ PeerStatus("n", false, null, true) }) { RelayAnswer(200, ByteArray(0), null) })
+        val new = HttpListener(InetSocketAddress("127.0.0.1", 0), "new", 4, PeerServer({ PeerStatus("n", false, null, true) }, { null }) { RelayAnswer(200, ByteArray(0), null) })
         val members = listOf(old, new).map { Member("n", "here", InetSocketAddress("127.0.0.1", it.port)) }
         val request = RelayRequest("POST", "/api/jobs", ByteArray(0))
         assertEquals(200, PeerClient(members).relay(request, 5.seconds, PeerPaths.RELAY_CHAINED)?.status)
