--- a/src/main/kotlin/glenspool/api/LeaseKeeper.kt
+++ b/src/main/kotlin/glenspool/api/LeaseKeeper.kt
@@ -37,8 +37,10 @@
      * [isolated]: it has lost the state service and every other node.
      */
     fun keeps(machine: String, complete: Duration?, isolated: Boolean): Boolean = when {
-        // It has read nothing, and nobody who has could be asked: any of the worker's tasks may have been cancelled long ago.
-        complete == null -> false
+        // It has read nothing yet, and nobody who has could be asked. The worker's lease has not ended, so a node that knew what
+        // was cancelled by then has answered it within a lease, and only newer ones may be left to be carried out.
+        complete == null && elapsed() >= workers.cancel - workers.lease * 2 - UNKNOWN_MARGIN -> false
+        complete == null -> true
         // A lease kept now may last for all its time, and a task cancelled just after that moment has to be gone by then.
         elapsed() >= complete + workers.cancel * (1 - DRIFT) - workers.lease - MARGIN -> false
         // One that comes from elsewhere has just found nobody there, and much of its lease has run out on the way.
@@ -91,6 +93,9 @@
         /** What the worker's clock and this one may drift apart, twice. */
         const val DRIFT = 0.001
 
+        /** What the last node to answer may have been behind, and the margin for timers that are late. */
+        val UNKNOWN_MARGIN = 3.seconds
+
         /** From the decision to the answer, and for timers that are late. */
         val MARGIN = 1.seconds
 
