--- a/src/main/kotlin/glenspool/controller/CancelExchange.kt
+++ b/src/main/kotlin/glenspool/controller/CancelExchange.kt
@@ -31,7 +31,12 @@
     private val learnt: (List<Cancellation>) -> Unit,
 ) {
     private val lock = ReentrantLock()
-    private val changed = lock.newCondition()
+
+    /** There is something to tell. */
+    private val untold = lock.newCondition()
+
+    /** Somebody was told. Not the same: each answer would make the duties ask again, for ever. */
+    private val told = lock.newCondition()
 
     /** The state service told of these. */
     fun stored(changes: List<StateWire.Change>) {
@@ -45,22 +50,19 @@
                 log.error("stored record {} is not readable", c.key, e)
             }
         }
-        if (any) wake()
+        if (any) lock.withLock { untold.signalAll() }
     }
 
-    private fun wake() = lock.withLock { changed.signalAll() }
-
     /** The duty that keeps up with one other controller. */
     fun run(member: Member) {
         while (true) {
-            val answered = once(member)
+            if (!once(member)) {
+                // It is tried again after a pause, whatever there is to tell.
+                Thread.sleep(RETRY.inWholeMilliseconds)
+                continue
+            }
             lock.withLock {
-                // One that does not answer is tried again after a pause, whatever there is to tell.
-                if (!answered) {
-                    changed.await(RETRY.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-                } else if (!cancellations.lacks(member.name)) {
-                    changed.await((if (stale()) RETRY else EVERY).inWholeMilliseconds, TimeUnit.MILLISECONDS)
-                }
+                if (!cancellations.lacks(member.name)) untold.await((if (stale()) RETRY else EVERY).inWholeMilliseconds, TimeUnit.MILLISECONDS)
             }
         }
     }
@@ -70,12 +72,12 @@
         return when (val r = peers.exchange(member, message(cancellations.newsFor(member.name)))) {
             is PeerClient.Exchange.Answered -> {
                 take(cancellations.answered(member.name, news(r.message), asked))
-                wake()
+                lock.withLock { told.signalAll() }
                 true
             }
             PeerClient.Exchange.Old -> {
                 cancellations.isOld(member.name)
-                wake()
+                lock.withLock { told.signalAll() }
                 false
             }
             PeerClient.Exchange.None -> false
@@ -93,7 +95,8 @@
         if (fresh.isEmpty()) return
         log.info("cancellations heard of jobs={}", fresh.map { it.job })
         learnt(fresh)
-        wake()
+        // The others may not have heard of them: who told this node may end before it has told all.
+        lock.withLock { untold.signalAll() }
     }
 
     /** Waits a moment until a user may be told that the job is cancelled; false: not yet. */
@@ -104,7 +107,7 @@
                 if (cancellations.confirmable(job)) return true
                 val left = PATIENCE - begun.elapsedNow()
                 if (left <= Duration.ZERO) return false
-                changed.await(left.inWholeMilliseconds + 1, TimeUnit.MILLISECONDS)
+                told.await(left.inWholeMilliseconds + 1, TimeUnit.MILLISECONDS)
             }
         }
     }
--- a/src/test/kotlin/glenspool/controller/CancelExchangeTest.kt
+++ b/src/test/kotlin/glenspool/controller/CancelExchangeTest.kt
@@ -40,10 +40,10 @@
 
     private fun stored(job: String) = listOf(StateWire.Change(Keys.cancel(job), mapOf("at" to 0L), 7))
 
-    private fun serving(s: Side, m: Member) {
+    private fun serving(x: CancelExchange, m: Member) {
         val t = thread(isDaemon = true) {
             try {
-                s.exchange.run(m)
+                x.run(m)
             } catch (e: InterruptedException) {
                 Thread.currentThread().interrupt()
             }
@@ -68,12 +68,34 @@
         a.exchange.stored(stored("run-1"))
         assertFalse(a.exchange.confirm("run-1"))
         gate.countDown()
-        serving(a, m)
+        serving(a.exchange, m)
         assertEquals(Cancellation("run-1", Duration.ZERO, 7), heard.poll(10, TimeUnit.SECONDS))
         assertTrue(b.known.knows("run-1"))
         assertTrue(a.exchange.confirm("run-1"))
     }
 
+    @Test
+    fun `duties that were answered do not wake each other`() {
+        val asked = LinkedBlockingQueue<String>()
+        val answers = listOf("b", "c").associateWith { Side(it, "a", PeerClient(emptyList())) }
+        val members = answers.map { (name, side) ->
+            val server = HttpListener(
+                InetSocketAddress("127.0.0.1", 0), name, 4,
+                PeerServer({ PeerStatus(name, false, null, true) }, { m -> side.exchange.answer(m).also { asked.add(name) } }) { RelayAnswer(500, ByteArray(0), null) },
+            )
+            open.add(server)
+            Member(name, "here", InetSocketAddress("127.0.0.1", server.port))
+        }
+        val known = Cancellations("a-1", members.map { it.name }, 100.seconds, { now }) { now }
+        val a = CancelExchange("a", known, PeerClient(members), { now }, { false }) {}
+        members.forEach { serving(a, it) }
+        a.stored(stored("run-1"))
+        assertTrue(a.confirm("run-1"))
+        // One round that found nothing new to tell, and one that told, at most; the next is due after two seconds.
+        val settled = generateSequence { asked.poll(400, TimeUnit.MILLISECONDS) }.take(20).count()
+        assertTrue(settled <= 6, "$settled exchanges")
+    }
+
     @Test
     fun `a user is not told while another controller may not have heard, but not for ever`() {
         val a = Side("a", "b", PeerClient(emptyList()))
@@ -92,7 +114,7 @@
         val m = member(server.port)
         val a = Side("a", "b", PeerClient(listOf(m)))
         a.exchange.stored(stored("run-1"))
-        serving(a, m)
+        serving(a.exchange, m)
         assertTrue(a.exchange.confirm("run-1"))
         a.known.stateRead(now)
         now = 20.seconds
--- a/src/test/kotlin/glenspool/standin/StateStandIn.kt
+++ b/src/test/kotlin/glenspool/standin/StateStandIn.kt
@@ -36,6 +36,9 @@
     /** What others do just before a transaction is carried out. */
     var beforeTransaction: (List<Put>) -> Unit = {}
 
+    /** Whether the answer to a transaction is lost although it was carried out. It can't be read then, which is no answer. */
+    var loses: () -> Boolean = { false }
+
     /** Transactions and reads of single keys that came in. */
     var served = 0
         private set
@@ -97,7 +100,7 @@
         if (path != "/follow") served++
         return when {
             path == "/multi" && throttled > 0 -> reply(429, emptyMap()).also { throttled-- }
-            path == "/multi" -> multi(Cbor.decodeMap(r.body.stream.readAllBytes()))
+            path == "/multi" -> multi(Cbor.decodeMap(r.body.stream.readAllBytes())).let { if (loses()) Response(Status.OK).body("\u00ff") else it }
             path == "/leases" -> reply(200, mapOf("tenure" to newLease()))
             path.endsWith("/touch") -> if (path.split('/')[2].toLong() in leases) reply(200, emptyMap()) else reply(404, emptyMap())
             path == "/follow" -> follow(r)
