--- a/src/main/kotlin/glenspool/config/Settings.kt
+++ b/src/main/kotlin/glenspool/config/Settings.kt
@@ -1,7 +1,6 @@
 package glenspool.config
 
 import com.fasterxml.jackson.databind.JsonNode
-import com.fasterxml.jackson.dataformat.toml.TomlMapper
 import glenspool.core.model.Objective
 import glenspool.core.model.Team
 import java.io.File
@@ -62,7 +61,7 @@
 
     fun read(file: File): Settings {
         val root = try {
-            TomlMapper().readTree(file)
+            TomlTree.read(file)
         } catch (e: java.io.IOException) {
             throw SettingsError(listOf("${file.path}: ${e.message}"))
         }
