--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -105,6 +105,14 @@
     /** Whether every controller reads records whose parts are stored apart. */
     private val membersNew: () -> Boolean,
 ) : AutoCloseable {
+    /** What the core is told of the deployment. */
+    val config = SchedulerConfig(
+        settings.teams, settings.objectives, settings.zones,
+        settings.workers.report, settings.workers.lease, settings.workers.gangWait, settings.workers.gangPeer, settings.workers.cancel,
+        settings.cloudLimits.listLag, settings.stateLimits.safe.txnOps, settings.stateLimits.safe.writeRps,
+        settings.stateLimits.safe.valueBytes, tuning, settings.members.map { it.zone }.toSet() - settings.zone, log.isDebugEnabled,
+    )
+
     private class Session(val term: Term, val scheduler: Scheduler)
 
     private val queue = LinkedBlockingQueue<Event>(QUEUE)
@@ -269,12 +277,6 @@
     }
 
     private fun begin(term: Term) {
-        val config = SchedulerConfig(
-            settings.teams, settings.objectives, settings.zones,
-            settings.workers.report, settings.workers.lease, settings.workers.gangWait, settings.workers.gangPeer, settings.workers.cancel,
-            settings.cloudLimits.listLag, settings.stateLimits.safe.txnOps, settings.stateLimits.safe.writeRps,
-            settings.stateLimits.safe.valueBytes, tuning, settings.members.map { it.zone }.toSet() - settings.zone, log.isDebugEnabled,
-        )
         val scheduler = Scheduler(config, term.token, clock.elapsedNow())
         val s = Session(term, scheduler)
         session = s
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -68,7 +68,8 @@
     fun start() {
         // Requests are taken as soon as the port is open; until the state is read they are told to come back.
         api = HttpListener(settings.apiAddr, "api", minOf(MAX_API_THREADS, settings.maxSockets / 3)) { r -> if (r.uri.path == "/checkin") workerApi(r) else userApi(r) }
-        internal = HttpListener(settings.internalAddr, "peer", PEER_THREADS, PeerServer({ status() }, exchange::answer, userApi::local))
+        val peerServer = PeerServer({ status() }, exchange::answer, userApi::local)
+        internal = HttpListener(settings.internalAddr, "peer", PEER_THREADS) { r -> if (r.uri.path == WarmUp.PATH) WarmUp.answer(r) else peerServer(r) }
         duties.start("state-watch") { replica.follow() }
         duties.start("state-sync") { replica.serveSyncs() }
         duties.start("leadership") { leadership.run() }
@@ -79,6 +80,7 @@
         duties.start("sweep") { sweepWhileLeading() }
         settings.members.forEach { m -> duties.start("cancel-${m.name}") { exchange.run(m) } }
         duties.start("overdue") { overdue.run() }
+        duties.start("warm-up") { WarmUp(loop.config, settings.internalAddr.hostPort()) { leadership.current() != null }.run() }
         log.info("started node={} zone={} api={}", settings.node, settings.zone, settings.apiAddr.hostPort())
     }
 
--- /dev/null
+++ b/src/main/kotlin/glenspool/controller/WarmUp.kt
@@ -0,0 +1,85 @@
+package glenspool.controller
+
+import glenspool.core.Rehearsing
+import glenspool.core.SchedulerConfig
+import glenspool.http.CallResult
+import glenspool.http.HttpCaller
+import glenspool.http.bounded
+import glenspool.http.cbor
+import glenspool.wire.Cbor
+import glenspool.wire.WorkerWire
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.slf4j.LoggerFactory
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/**
+ * Runs a leader's code on a made-up fleet while this node follows. What a process runs for the first time takes many times as
+ * long as later, when it is compiled: a node that took over cold, with a twentieth of a core, was behind with all its workers
+ * for more than ten seconds. It takes at most half of the time, in slices, and ends for good when it has done enough or the
+ * node leads. [addr]: this node's own address for [PATH].
+ */
+class WarmUp(private val config: SchedulerConfig, private val addr: String, private val pauseFirst: Duration = PAUSE_FIRST, private val leads: () -> Boolean) {
+    private val http = HttpCaller(500.milliseconds)
+
+    /** The duty; it ends by itself. */
+    fun run() {
+        try {
+            warm()
+        } catch (e: RuntimeException) {
+            // Nothing rests on it: the node only stays colder.
+            log.error("warm-up failed", e)
+        }
+        Thread.currentThread().interrupt()
+    }
+
+    private fun warm() {
+        Thread.sleep(pauseFirst.inWholeMilliseconds)
+        val begun = TimeSource.Monotonic.markNow()
+        val fleet = Rehearsing(config)
+        var asks = true
+        var worked = Duration.ZERO
+        for (n in 0 until TURNS) {
+            if (leads()) return
+            val slice = TimeSource.Monotonic.markNow()
+            fleet.turn()
+            outside(fleet)
+            repeat(ASKS_A_TURN) { if (asks) asks = ask(fleet) }
+            // As long as the slice took, so that half of the processor is left for what comes in meanwhile.
+            worked += slice.elapsedNow()
+            if (n % 20 == 0) log.debug("warm-up turn={} worked={}", n, worked)
+            Thread.sleep(slice.elapsedNow().coerceIn(PAUSE, PAUSE_MOST).inWholeMilliseconds)
+        }
+        log.info("warmed up after={} of which working={}", begun.elapsedNow(), worked)
+    }
+
+    /** What lies between the core and the counterparts. */
+    private fun outside(fleet: Rehearsing) {
+        fleet.lastStore?.let { s -> transactionOf(1, s).puts.forEach { Cbor.decodeMap(Cbor.encode(it.value)) } }
+    }
+
+    private fun ask(fleet: Rehearsing): Boolean {
+        val r = http.post(addr, PATH, WorkerWire.encode(fleet.lastReport), 2.seconds)
+        return r is CallResult.Answer && r.status == Status.OK.code
+    }
+
+    companion object {
+        private val log = LoggerFactory.getLogger(WarmUp::class.java)
+        const val PATH = "/peer/warm-up"
+        private const val TURNS = 240
+        private const val ASKS_A_TURN = 2
+        private val PAUSE_FIRST: Duration = 3.seconds
+        private val PAUSE: Duration = 20.milliseconds
+        private val PAUSE_MOST: Duration = 2.seconds
+
+        /** Takes a report in and answers it, and does nothing else with it. */
+        fun answer(request: Request): Response {
+            val report = WorkerWire.decodeReport(Cbor.decodeMap(request.body.bounded() ?: return cbor(Status.BAD_REQUEST, emptyMap())))
+            return cbor(Status.OK, WorkerWire.answer(report.token, emptyList()))
+        }
+    }
+}
--- a/src/main/kotlin/glenspool/wire/Messages.kt
+++ b/src/main/kotlin/glenspool/wire/Messages.kt
@@ -55,6 +55,8 @@
     "busy" to Exit.BUSY,
     "unknown" to Exit.UNKNOWN,
 )
+private val stateNames = taskStates.entries.associate { it.value to it.key }
+private val exitNames = exits.entries.associate { it.value to it.key }
 private val stages = mapOf("booting" to MachineStage.BOOTING, "running" to MachineStage.RUNNING, "failed" to MachineStage.FAILED)
 
 fun validJobId(id: String): Boolean = jobIdForm.matches(id)
@@ -292,6 +294,17 @@
         },
     )
 
+    fun encode(r: Report): Fields = linkedMapOf(
+        "spindle" to r.machine, "addr" to r.addr, "frame" to r.type, "hall" to r.zone, "loaners" to r.spot, "shift" to r.session, "stitch" to r.seq,
+        "baton" to r.token, "recall_s" to r.notice?.toSeconds(),
+        "threads" to r.tasks.map { t ->
+            linkedMapOf(
+                "thread" to "${t.key.job}/${t.key.task}", "try" to t.attempt, "stage" to stateNames.getValue(t.state), "cause" to t.exit?.let { exitNames.getValue(it) },
+                "stored" to t.saved,
+            )
+        },
+    )
+
     private fun taskKey(s: String): TaskKey {
         val i = s.lastIndexOf('/')
         val n = s.substring(i + 1).toIntOrNull()
--- /dev/null
+++ b/src/test/kotlin/glenspool/controller/WarmUpTest.kt
@@ -0,0 +1,60 @@
+package glenspool.controller
+
+import glenspool.core.Rehearsing
+import glenspool.core.model.Team
+import glenspool.http.HttpListener
+import glenspool.standin.config
+import glenspool.wire.Cbor
+import glenspool.wire.WorkerWire
+import org.http4k.core.Body
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.net.InetSocketAddress
+import java.nio.ByteBuffer
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+
+/** What a node runs while it follows, so that it does not lead cold. */
+class WarmUpTest {
+    @Test
+    fun `the made-up fleet lives a leader's life, and nothing piles up in it`() {
+        val fleet = Rehearsing(config())
+        repeat(240) { fleet.turn() }
+        assertTrue(fleet.started > 300, "${fleet.started} started")
+        assertTrue(fleet.ended > 150, "${fleet.ended} ended")
+        assertTrue(fleet.open < 60, "${fleet.open} open")
+    }
+
+    @Test
+    fun `a team without room for anything does no harm`() {
+        val fleet = Rehearsing(config(listOf(Team("t0", 0.0, 0.0, 0.1, 0.1))))
+        repeat(240) { fleet.turn() }
+        assertEquals(0, fleet.started)
+    }
+
+    @Test
+    fun `the node asks itself, and stops for good as soon as it leads`() {
+        val asked = AtomicInteger()
+        HttpListener(InetSocketAddress("127.0.0.1", 0), "itself", 4) { r ->
+            asked.incrementAndGet()
+            WarmUp.answer(r)
+        }.use { itself ->
+            var turns = 0
+            WarmUp(config(), "127.0.0.1:${itself.port}", Duration.ZERO) { turns++ >= 3 }.run()
+            // The duty ends by its interrupt.
+            assertTrue(Thread.interrupted())
+            assertEquals(6, asked.get())
+        }
+    }
+
+    @Test
+    fun `the answer to a made-up report orders nothing and vouches for nothing but its own token`() {
+        val fleet = Rehearsing(config())
+        fleet.turn()
+        val r = WarmUp.answer(Request(Method.POST, WarmUp.PATH).body(Body(ByteBuffer.wrap(Cbor.encode(WorkerWire.encode(fleet.lastReport))))))
+        assertEquals(WorkerWire.answer(fleet.lastReport.token, emptyList()), Cbor.decodeMap(r.body.stream.readAllBytes()))
+    }
+}
--- a/src/test/kotlin/glenspool/wire/WireTest.kt
+++ b/src/test/kotlin/glenspool/wire/WireTest.kt
@@ -8,6 +8,8 @@
 import glenspool.core.model.JobKind
 import glenspool.core.model.JobRecord
 import glenspool.core.model.Priority
+import glenspool.core.model.Report
+import glenspool.core.model.ReportedTask
 import glenspool.core.model.StartTask
 import glenspool.core.model.StopTask
 import glenspool.core.model.TaskKey
@@ -38,6 +40,15 @@
      "frames":["g8"],"hall":null,"same_place":true,"apart":false,"loaners":true,
      "expected_s":240.0,"knot_s":30.0,"knotting_s":4.0,"due_s":900.0}"""
 
+    @Test
+    fun `a report that is encoded here is decoded as it was`() {
+        val tasks = TaskState.entries.map { ReportedTask(TaskKey("run-1", it.ordinal), 3, it, if (it == TaskState.EXITED) Exit.NO_ROOM else null, false) }
+        for (notice in listOf(null, 7.5.seconds)) {
+            val r = Report("i-1", "10.0.0.1:9", "g8", "a", true, 2, 31, 7, notice, tasks)
+            assertEquals(r, WorkerWire.decodeReport(Cbor.decodeMap(Cbor.encode(WorkerWire.encode(r)))))
+        }
+    }
+
     @Test
     fun `a job reads and writes as in the protocol`() {
         val j = JobWire.decode(outside(job))
