--- a/src/main/kotlin/glenspool/api/WorkerApi.kt
+++ b/src/main/kotlin/glenspool/api/WorkerApi.kt
@@ -18,13 +18,20 @@
 import org.http4k.core.Response
 import org.http4k.core.Status
 import org.slf4j.LoggerFactory
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 
 /** Takes workers' reports: the leader answers with orders, another node names the leader or keeps the lease. */
 class WorkerApi(private val settings: Settings, private val node: Node, private val loop: CoreLoop) : HttpHandler {
     private val keeper = LeaseKeeper(settings.workers, settings.members.size, node::uptime)
 
+    private val reports = AtomicLong()
+
+    /** Reports that came to this node so far. */
+    fun answered(): Long = reports.get()
+
     override fun invoke(request: Request): Response {
+        reports.incrementAndGet()
         if (request.method != Method.POST) return cbor(Status.METHOD_NOT_ALLOWED, emptyMap())
         val bytes = request.body.bounded() ?: return cbor(Status.BAD_REQUEST, mapOf("error" to "the body is too long"))
         val report = try {
--- a/src/main/kotlin/glenspool/cli/Main.kt
+++ b/src/main/kotlin/glenspool/cli/Main.kt
@@ -75,11 +75,13 @@
 
 private fun serve(args: List<String>): Int {
     val node = begin(args)
-    Runtime.getRuntime().addShutdownHook(Thread { node.close() })
+    Runtime.getRuntime().addShutdownHook(closing(node))
     node.join()
     return 0
 }
 
+internal fun closing(node: Node) = Thread(node::close, "close")
+
 /** Starts a controller as `serve` was told; the rehearsal goes the same way. */
 internal fun begin(args: List<String>): Node {
     val options = Options().addOption(Option.builder().longOpt("config").hasArg().required().build())
--- a/src/main/kotlin/glenspool/cli/Rehearsal.kt
+++ b/src/main/kotlin/glenspool/cli/Rehearsal.kt
@@ -26,6 +26,7 @@
  * which a real one loads. Start-up time is down time, and most of it is loading classes on a slow processor.
  */
 object Rehearsal {
+    private const val SOCKETS = 1000
     private val ledger = AtomicLong(1)
     private val machineType = mapOf(
         "name" to "any", "cpus" to 8.0, "accelerators" to 1.0, "memory_gb" to 32.0, "local_gb" to 10.0, "fetch_gb_per_s" to 1.0,
@@ -40,6 +41,8 @@
     fun run(): Int {
         // What the log would say is made ready too, but nobody needs to read it.
         System.setErr(PrintStream(OutputStream.nullOutputStream()))
+        // As in a real one, and before the first listener: the server reads it once.
+        HttpListener.configure(SOCKETS)
         val outside = HttpListener(InetSocketAddress("127.0.0.1", 0), "canned", 8, ::canned)
         val api = freePort()
         val file = File.createTempFile("rehearsal", ".toml")
@@ -47,6 +50,7 @@
             val internal = freePort()
             file.writeText(settings(api, internal, outside.port))
             begin(listOf("--config", file.path)).use {
+                closing(it)
                 play("127.0.0.1:$api", "127.0.0.1:${outside.port}")
                 val member = Member("itself", "here", InetSocketAddress("127.0.0.1", internal))
                 val itself = PeerClient(listOf(member))
@@ -63,6 +67,7 @@
 
     private fun play(addr: String, worker: String) {
         val http = HttpCaller(500.milliseconds)
+        http.get("127.0.0.1:${freePort()}", "/nobody-listens", 1.seconds)
         Thread.sleep(700)
         http.post(addr, "/api/jobs", job, 2.seconds)
         http.post(addr, "/api/jobs", job + mapOf("uid" to "run-000003", "awaits" to listOf("run-000001")), 2.seconds)
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -80,7 +80,7 @@
         duties.start("sweep") { sweepWhileLeading() }
         settings.members.forEach { m -> duties.start("cancel-${m.name}") { exchange.run(m) } }
         duties.start("overdue") { overdue.run() }
-        duties.start("warm-up") { WarmUp(loop.config, settings.internalAddr.hostPort()) { leadership.current() != null }.run() }
+        duties.start("warm-up") { WarmUp(loop.config, settings.internalAddr.hostPort(), served = workerApi::answered) { leadership.current() != null }.run() }
         log.info("started node={} zone={} api={}", settings.node, settings.zone, settings.apiAddr.hostPort())
     }
 
--- a/src/main/kotlin/glenspool/controller/WarmUp.kt
+++ b/src/main/kotlin/glenspool/controller/WarmUp.kt
@@ -20,10 +20,17 @@
 /**
  * Runs a leader's code on a made-up fleet while this node follows. What a process runs for the first time takes many times as
  * long as later, when it is compiled: a node that took over cold, with a twentieth of a core, was behind with all its workers
- * for more than ten seconds. It takes at most half of the time, in slices, and ends for good when it has done enough or the
- * node leads. [addr]: this node's own address for [PATH].
+ * for more than ten seconds. It takes at most half of the time, in slices, waits while workers come here in numbers, which warms
+ * as well, and ends for good when it has done enough or the node leads. [addr]: this node's own address for [PATH].
  */
-class WarmUp(private val config: SchedulerConfig, private val addr: String, private val pauseFirst: Duration = PAUSE_FIRST, private val leads: () -> Boolean) {
+class WarmUp(
+    private val config: SchedulerConfig,
+    private val addr: String,
+    private val pauseFirst: Duration = PAUSE_FIRST,
+    /** Reports that this node has answered so far. */
+    private val served: () -> Long,
+    private val leads: () -> Boolean,
+) {
     private val http = HttpCaller(500.milliseconds)
 
     /** The duty; it ends by itself. */
@@ -49,14 +56,23 @@
             fleet.turn()
             outside(fleet)
             repeat(ASKS_A_TURN) { if (asks) asks = ask(fleet) }
-            // As long as the slice took, so that half of the processor is left for what comes in meanwhile.
             worked += slice.elapsedNow()
-            if (n % 20 == 0) log.debug("warm-up turn={} worked={}", n, worked)
-            Thread.sleep(slice.elapsedNow().coerceIn(PAUSE, PAUSE_MOST).inWholeMilliseconds)
+            // As long as the slice took, so that half of the processor is left for what comes in meanwhile.
+            rest(slice.elapsedNow().coerceIn(PAUSE, PAUSE_MOST))
         }
         log.info("warmed up after={} of which working={}", begun.elapsedNow(), worked)
     }
 
+    private fun rest(pause: Duration) {
+        var next = pause
+        while (!leads()) {
+            val before = served()
+            Thread.sleep(next.inWholeMilliseconds)
+            if (served() - before <= next.inWholeMilliseconds * BUSY_A_SECOND / 1000) return
+            next = 1.seconds
+        }
+    }
+
     /** What lies between the core and the counterparts. */
     private fun outside(fleet: Rehearsing) {
         fleet.lastStore?.let { s -> transactionOf(1, s).puts.forEach { Cbor.decodeMap(Cbor.encode(it.value)) } }
@@ -72,8 +88,9 @@
         const val PATH = "/peer/warm-up"
         private const val TURNS = 240
         private const val ASKS_A_TURN = 2
+        private const val BUSY_A_SECOND = 20
         private val PAUSE_FIRST: Duration = 3.seconds
-        private val PAUSE: Duration = 20.milliseconds
+        private val PAUSE: Duration = 50.milliseconds
         private val PAUSE_MOST: Duration = 2.seconds
 
         /** Takes a report in and answers it, and does nothing else with it. */
--- a/src/test/kotlin/glenspool/controller/WarmUpTest.kt
+++ b/src/test/kotlin/glenspool/controller/WarmUpTest.kt
@@ -43,13 +43,29 @@
             WarmUp.answer(r)
         }.use { itself ->
             var turns = 0
-            WarmUp(config(), "127.0.0.1:${itself.port}", Duration.ZERO) { turns++ >= 3 }.run()
+            // Asked before each turn and in each pause.
+            WarmUp(config(), "127.0.0.1:${itself.port}", Duration.ZERO, { 0 }) { turns++ >= 6 }.run()
             // The duty ends by its interrupt.
             assertTrue(Thread.interrupted())
             assertEquals(6, asked.get())
         }
     }
 
+    @Test
+    fun `it does nothing while workers come in numbers`() {
+        val asked = AtomicInteger()
+        HttpListener(InetSocketAddress("127.0.0.1", 0), "itself", 4) { r ->
+            asked.incrementAndGet()
+            WarmUp.answer(r)
+        }.use { itself ->
+            var served = 0L
+            var looks = 0
+            WarmUp(config(), "127.0.0.1:${itself.port}", Duration.ZERO, { (served + 1000).also { served = it } }) { looks++ >= 2 }.run()
+            assertTrue(Thread.interrupted())
+            assertEquals(2, asked.get())
+        }
+    }
+
     @Test
     fun `the answer to a made-up report orders nothing and vouches for nothing but its own token`() {
         val fleet = Rehearsing(config())
