--- a/src/main/kotlin/glenspool/core/cluster/CancelledWork.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CancelledWork.kt
@@ -17,6 +17,9 @@
     private val cleared = HashMap<String, HashSet<String>>()
     private var suspects: Map<String, Suspect> = emptyMap()
 
+    /** Machines that were asked, or could not be, since they are suspects. */
+    private val tried = HashSet<String>()
+
     /** The machines to be asked at [now]. [machinesOf]: where the job was placed, as far as is known. */
     @Synchronized
     fun due(now: Duration, known: List<Cancellation>, machinesOf: (String) -> List<String>): List<Suspect> {
@@ -32,6 +35,7 @@
             }
         }
         suspects = jobs.mapValues { (m, j) -> Suspect(m, j, since.getValue(m)) }
+        tried.retainAll(suspects.keys)
         if (suspects.isEmpty()) cleared.clear()
         return suspects.values.toList()
     }
@@ -39,6 +43,7 @@
     /** What the machine answered, null if nothing. What has to be stopped there is returned. */
     @Synchronized
     fun seen(s: Suspect, report: Report?): List<StopTask> {
+        tried.add(s.machine)
         if (report == null) return emptyList()
         val left = report.tasks.filter { it.state != TaskState.EXITED && it.key.job in s.jobs }
         val busy = left.map { it.key.job }.toSet()
@@ -46,10 +51,10 @@
         return left.map { StopTask(it.key, it.attempt, Duration.ZERO) }
     }
 
-    /** Machines that have to be deleted at [now]: what is on them was neither seen to be gone nor stopped. */
+    /** Machines that have to be deleted at [now]: they were asked, and what is on them was neither seen to be gone nor stopped. */
     @Synchronized
     fun late(now: Duration): List<String> = suspects.values
-        .filter { now - it.since > cancel * DELETE_AFTER && cleared[it.machine]?.containsAll(it.jobs) != true }
+        .filter { it.machine in tried && now - it.since > cancel * DELETE_AFTER && cleared[it.machine]?.containsAll(it.jobs) != true }
         .map { it.machine }
 
     @Synchronized
--- a/src/test/kotlin/glenspool/core/CancelledWorkTest.kt
+++ b/src/test/kotlin/glenspool/core/CancelledWorkTest.kt
@@ -45,7 +45,10 @@
         assertEquals(emptyList<String>(), work.late(30.seconds))
         due(31)
         assertEquals(listOf("m2"), work.late(31.seconds))
-        due(35)
+        // One that was never asked may be rid of it.
+        val (_, m3) = due(35)
+        assertEquals(listOf("m2"), work.late(35.seconds))
+        work.seen(m3, null)
         assertEquals(listOf("m2", "m3"), work.late(35.seconds))
         work.gone("m2")
         due(36)
