--- a/src/test/kotlin/glenspool/meetings/CancellationGapTest.kt
+++ b/src/test/kotlin/glenspool/meetings/CancellationGapTest.kt
@@ -163,6 +163,57 @@
         assertEquals(emptyList<String>(), t.violations)
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = [71, 72, 73])
+    fun `hundreds of cancellations come within a fifth of a second`(seed: Long) {
+        val t = Trio(seed)
+        val jobs = (0 until 600).map { "many-$it" }
+        for ((i, j) in jobs.withIndex()) t.workers[i % t.workers.size].jobs += j
+        t.workers.forEach { w ->
+            w.home = 0
+            w.jobs += "healthy-${w.name}"
+        }
+        t.run(30.seconds)
+        t.members[0].refusedUntil = 44.seconds
+        for ((i, j) in jobs.withIndex()) t.at(30.5.seconds + (i / 3).milliseconds) { t.members[1 + i % 2].cancel(j) }
+        t.at(31.seconds) { t.stateOutUntil = 93.seconds }
+        t.run(200.seconds)
+        assertEquals(emptyList<String>(), t.violations.take(3), "seed $seed")
+        assertEquals(jobs.size, t.confirmed.size)
+        assertEquals(emptyList<String>(), t.killed, "seed $seed")
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [81, 82, 83])
+    fun `the node that stored a cancellation ends before its user hears, and another one confirms it`(seed: Long) {
+        val t = Trio(seed)
+        t.workers.forEach { w ->
+            w.home = 0
+            w.jobs += listOf("cancelled-${w.name}", "healthy-${w.name}")
+        }
+        t.run(30.seconds)
+        t.members[0].refusedUntil = 44.seconds
+        for (w in t.workers) t.at(30.2.seconds) { t.members[1].cancel("cancelled-${w.name}") }
+        t.at(30.201.seconds) { t.members[1].stop(6.seconds) }
+        for (w in t.workers) t.at(31.2.seconds) { t.members[2].cancel("cancelled-${w.name}") }
+        t.at(33.seconds) { t.stateOutUntil = 94.seconds }
+        t.run(200.seconds)
+        assertEquals(emptyList<String>(), t.violations.take(3), "seed $seed")
+        assertTrue(t.workers.none { w -> w.jobs.any { it in t.confirmed } })
+        assertEquals(emptyList<String>(), t.killed.filter { it.startsWith("healthy") }, "seed $seed")
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [91, 92, 93])
+    fun `the state service is slow instead of out`(seed: Long) {
+        val t = gap(seed) {
+            at(29.seconds) { stateSlowUntil = 120.seconds }
+            at(33.seconds) { stateOutUntil = 33.seconds }
+        }
+        assertEquals(t.workers.size, t.confirmed.size)
+        assertEquals(emptyList<String>(), t.killed, "seed $seed")
+    }
+
     /** Cuts, refusals, outages, ends and losses in any order, with cancellations at any node. */
     @Test
     fun `random days keep the promise`() {
