--- a/src/test/kotlin/glenspool/meetings/CancellationGapTest.kt
+++ b/src/test/kotlin/glenspool/meetings/CancellationGapTest.kt
@@ -19,18 +19,23 @@
 class CancellationGapTest {
     private val mill = WorkerSettings(1.5.seconds, 14.seconds, 30.seconds, 8.seconds, 44.seconds)
 
-    /** All workers at the old leader, each with one job to be cancelled, one that is not, and one more of the former. */
-    private fun gap(seed: Long, settings: WorkerSettings = Trio.SETTINGS, loss: Double = 0.0, more: Trio.() -> Unit = {}): Trio {
-        val t = Trio(seed, settings, loss)
-        for ((i, w) in t.workers.withIndex()) {
+    /** All workers at the old leader, each with a job of each [kind] that bears its name. */
+    private fun atOldLeader(seed: Long, settings: WorkerSettings, vararg kind: String): Trio {
+        val t = Trio(seed, settings)
+        for (w in t.workers) {
             w.home = 0
-            w.jobs += listOf("cancelled-$i", "healthy-$i")
+            kind.forEach { w.jobs += "$it-${w.name}" }
         }
+        return t
+    }
+
+    private fun gap(seed: Long, settings: WorkerSettings = Trio.SETTINGS, more: Trio.() -> Unit = {}): Trio {
+        val t = atOldLeader(seed, settings, "cancelled", "healthy")
         t.run(30.seconds)
         val (leader, b, c) = t.members
         leader.refusedUntil = 44.seconds
         t.at(32.seconds) { t.stateOutUntil = 93.seconds }
-        for (i in t.workers.indices) t.at(30.seconds + (100 + i * 100).milliseconds) { (if (i % 2 == 0) b else c).cancel("cancelled-$i") }
+        for ((i, w) in t.workers.withIndex()) t.at(30.seconds + (100 + i * 100).milliseconds) { (if (i % 2 == 0) b else c).cancel("cancelled-${w.name}") }
         t.more()
         t.run(200.seconds)
         assertEquals(emptyList<String>(), t.violations, "seed $seed")
@@ -79,9 +84,7 @@
             assertEquals(0, soon.confirmed.size)
             assertTrue(soon.postponed > 0)
             // They come when it has not been reached for long: it lets the leases run out in time.
-            val t = Trio(seed)
-            for (w in t.workers) w.jobs += "cancelled-${w.name}"
-            t.workers.forEach { it.home = 0 }
+            val t = atOldLeader(seed, Trio.SETTINGS, "cancelled")
             t.run(30.seconds)
             t.members[0].peersCutUntil = 150.seconds
             t.members[0].refusedUntil = 150.seconds
@@ -96,9 +99,7 @@
     @ParameterizedTest
     @ValueSource(longs = [36, 37, 38])
     fun `all who know of a cancellation end before the old leader is reached again`(seed: Long) {
-        val t = Trio(seed)
-        for (w in t.workers) w.jobs += "cancelled-${w.name}"
-        t.workers.forEach { it.home = 0 }
+        val t = atOldLeader(seed, Trio.SETTINGS, "cancelled")
         t.run(30.seconds)
         t.members[0].peersCutUntil = 70.seconds
         t.members[0].refusedUntil = 70.seconds
@@ -146,11 +147,7 @@
     @ParameterizedTest
     @ValueSource(longs = [61, 62, 63])
     fun `a node whose peers are of the production version keeps leases only as long as they can't hide a cancellation`(seed: Long) {
-        val t = Trio(seed)
-        for (w in t.workers) {
-            w.home = 0
-            w.jobs += "cancelled-${w.name}"
-        }
+        val t = atOldLeader(seed, Trio.SETTINGS, "cancelled")
         t.members[1].old = true
         t.members[2].old = true
         t.run(30.seconds)
@@ -166,13 +163,9 @@
     @ParameterizedTest
     @ValueSource(longs = [71, 72, 73])
     fun `hundreds of cancellations come within a fifth of a second`(seed: Long) {
-        val t = Trio(seed)
+        val t = atOldLeader(seed, Trio.SETTINGS, "healthy")
         val jobs = (0 until 600).map { "many-$it" }
         for ((i, j) in jobs.withIndex()) t.workers[i % t.workers.size].jobs += j
-        t.workers.forEach { w ->
-            w.home = 0
-            w.jobs += "healthy-${w.name}"
-        }
         t.run(30.seconds)
         t.members[0].refusedUntil = 44.seconds
         for ((i, j) in jobs.withIndex()) t.at(30.5.seconds + (i / 3).milliseconds) { t.members[1 + i % 2].cancel(j) }
@@ -186,11 +179,7 @@
     @ParameterizedTest
     @ValueSource(longs = [81, 82, 83])
     fun `the node that stored a cancellation ends before its user hears, and another one confirms it`(seed: Long) {
-        val t = Trio(seed)
-        t.workers.forEach { w ->
-            w.home = 0
-            w.jobs += listOf("cancelled-${w.name}", "healthy-${w.name}")
-        }
+        val t = atOldLeader(seed, Trio.SETTINGS, "cancelled", "healthy")
         t.run(30.seconds)
         t.members[0].refusedUntil = 44.seconds
         for (w in t.workers) t.at(30.2.seconds) { t.members[1].cancel("cancelled-${w.name}") }
