--- a/src/main/kotlin/glenspool/api/Ends.kt
+++ b/src/main/kotlin/glenspool/api/Ends.kt
@@ -20,7 +20,8 @@
 
     data object Unreachable : Look
 
-    private val remembered = CacheBuilder.newBuilder().maximumSize(4000).build<String, Fields>()
+    /** Made when the first user asks: loading the cache's classes would delay the start. */
+    private val remembered by lazy { CacheBuilder.newBuilder().maximumSize(MAX_REMEMBERED).build<String, Fields>() }
 
     fun known(id: String): Fields? = remembered.getIfPresent(id)
 
@@ -32,4 +33,8 @@
             else -> Unreachable
         }
     }
+
+    private companion object {
+        const val MAX_REMEMBERED = 4000L
+    }
 }
--- a/src/main/kotlin/glenspool/api/LeaseKeeper.kt
+++ b/src/main/kotlin/glenspool/api/LeaseKeeper.kt
@@ -13,15 +13,18 @@
  * node's start.
  */
 class LeaseKeeper(private val workers: WorkerSettings, private val otherNodes: Int, private val elapsed: () -> Duration) {
-    private val letGo = CacheBuilder.newBuilder()
-        .ticker(
-            object : Ticker() {
-                override fun read(): Long = elapsed().inWholeNanoseconds
-            },
-        )
-        .maximumSize(MAX_WORKERS)
-        .expireAfterWrite(workers.lease.toJavaDuration())
-        .build<String, Boolean>()
+    /** Made when the first worker is let go: loading the cache's classes would delay the start. */
+    private val letGo by lazy {
+        CacheBuilder.newBuilder()
+            .ticker(
+                object : Ticker() {
+                    override fun read(): Long = elapsed().inWholeNanoseconds
+                },
+            )
+            .maximumSize(MAX_WORKERS)
+            .expireAfterWrite(workers.lease.toJavaDuration())
+            .build<String, Boolean>()
+    }
 
     /** Workers that this node answered, and when. */
     private val served = ConcurrentHashMap<String, Duration>()
--- a/src/main/kotlin/glenspool/api/UserApi.kt
+++ b/src/main/kotlin/glenspool/api/UserApi.kt
@@ -9,6 +9,7 @@
 import glenspool.http.bounded
 import glenspool.http.cbor
 import glenspool.http.tryLater
+import glenspool.logging.loggerOf
 import glenspool.peer.PeerClient
 import glenspool.peer.PeerPaths
 import glenspool.peer.RelayAnswer
@@ -33,7 +34,6 @@
 import org.http4k.core.Response
 import org.http4k.core.Status
 import org.http4k.core.Uri
-import org.slf4j.LoggerFactory
 import java.util.BitSet
 import java.util.concurrent.ThreadLocalRandom
 import kotlin.time.Duration.Companion.milliseconds
@@ -326,7 +326,7 @@
     private fun error(status: Status, text: String): Response = cbor(status, mapOf("error" to text))
 
     companion object {
-        private val log = LoggerFactory.getLogger(UserApi::class.java)
+        private val log = loggerOf(UserApi::class.java)
         private const val JOBS = "/api/jobs"
         private const val WITHDRAW = "/withdraw"
         private val UNDECIDED = Fault(Status.SERVICE_UNAVAILABLE, "undecided")
--- a/src/main/kotlin/glenspool/api/WorkerApi.kt
+++ b/src/main/kotlin/glenspool/api/WorkerApi.kt
@@ -7,22 +7,22 @@
 import glenspool.core.model.Report
 import glenspool.core.model.StopTask
 import glenspool.core.model.TaskState
+import glenspool.http.AsyncHandler
 import glenspool.http.bounded
 import glenspool.http.cbor
+import glenspool.logging.loggerOf
 import glenspool.wire.Cbor
 import glenspool.wire.MalformedMessage
 import glenspool.wire.WorkerWire
-import org.http4k.core.HttpHandler
 import org.http4k.core.Method
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
-import org.slf4j.LoggerFactory
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 
 /** Takes workers' reports: the leader answers with orders, another node names the leader or keeps the lease. */
-class WorkerApi(private val settings: Settings, private val node: Node, private val loop: CoreLoop) : HttpHandler {
+class WorkerApi(private val settings: Settings, private val node: Node, private val loop: CoreLoop) : AsyncHandler {
     private val keeper = LeaseKeeper(settings.workers, settings.members.size, node::uptime)
 
     private val reports = AtomicLong()
@@ -30,17 +30,21 @@
     /** Reports that came to this node so far. */
     fun answered(): Long = reports.get()
 
-    override fun invoke(request: Request): Response {
+    override fun handle(request: Request, respond: (Response) -> Unit) {
         reports.incrementAndGet()
-        if (request.method != Method.POST) return cbor(Status.METHOD_NOT_ALLOWED, emptyMap())
-        val bytes = request.body.bounded() ?: return cbor(Status.BAD_REQUEST, mapOf("error" to "the body is too long"))
+        if (request.method != Method.POST) return respond(cbor(Status.METHOD_NOT_ALLOWED, emptyMap()))
+        val bytes = request.body.bounded() ?: return respond(cbor(Status.BAD_REQUEST, mapOf("error" to "the body is too long")))
         val report = try {
             WorkerWire.decodeReport(Cbor.decodeMap(bytes))
         } catch (e: MalformedMessage) {
             log.warn("report not understood: {}", e.message)
-            return cbor(Status.BAD_REQUEST, mapOf("error" to (e.message ?: "malformed")))
+            return respond(cbor(Status.BAD_REQUEST, mapOf("error" to (e.message ?: "malformed"))))
         }
-        loop.report(report)?.let { return answer(report, it.token, it.commands) }
+        loop.report(report) { orders -> respond(if (orders != null) answer(report, orders.token, orders.commands) else withoutOrders(report)) }
+    }
+
+    /** The answer of a node that does not lead, or whose core is behind. */
+    private fun withoutOrders(report: Report): Response {
         val leader = node.leaderToName()
         if (leader != null && keeper.sendsOn(report.machine)) return cbor(MISDIRECTED, WorkerWire.redirect(leader))
         if (!keeper.keeps(report.machine, node.cancellations.complete(), node.isolated())) return cbor(Status.SERVICE_UNAVAILABLE, emptyMap())
@@ -59,7 +63,7 @@
         .map { StopTask(it.key, it.attempt, Duration.ZERO) }
 
     companion object {
-        private val log = LoggerFactory.getLogger(WorkerApi::class.java)
+        private val log = loggerOf(WorkerApi::class.java)
         private val MISDIRECTED = Status(421, "Misdirected Request")
     }
 }
--- a/src/main/kotlin/glenspool/cli/Main.kt
+++ b/src/main/kotlin/glenspool/cli/Main.kt
@@ -30,16 +30,11 @@
 class UsageError(message: String) : Exception(message)
 
 fun main(args: Array<String>) {
-    exitProcess(execute(args.toList()))
+    exitProcess(execute(args.asList()))
 }
 
 /** Runs a command and returns the exit code: 0 done, 1 failed, 2 wrong usage. */
 fun execute(args: List<String>): Int {
-    // Must be set before the first logger exists.
-    val level = System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "warn", "info", "debug", "trace") } ?: "info"
-    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", level)
-    System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true")
-    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
     return try {
         command(args)
     } catch (e: UsageError) {
--- a/src/main/kotlin/glenspool/cli/Rehearsal.kt
+++ b/src/main/kotlin/glenspool/cli/Rehearsal.kt
@@ -48,7 +48,7 @@
         val file = File.createTempFile("rehearsal", ".toml")
         try {
             val internal = freePort()
-            file.writeText(settings(api, internal, outside.port))
+            file.writeText(settings(api, internal, outside.port, freePort()))
             begin(listOf("--config", file.path)).use {
                 closing(it)
                 play("127.0.0.1:$api", "127.0.0.1:${outside.port}")
@@ -118,11 +118,19 @@
 
     private fun freePort(): Int = ServerSocket(0).use { it.localPort }
 
-    private fun settings(api: Int, internal: Int, outside: Int) = """
+    private fun settings(api: Int, internal: Int, outside: Int, absent: Int) = """
         host_name = "rehearsal"
         location = "here"
         api_addr = "127.0.0.1:$api"
         internal_addr = "127.0.0.1:$internal"
+        [[members]]
+        host_name = "absent"
+        location = "here"
+        addr = "127.0.0.1:$absent"
+        [[members]]
+        host_name = "other"
+        location = "here"
+        addr = "127.0.0.1:$outside"
         [outside]
         cloud = "127.0.0.1:$outside"
         state = "127.0.0.1:$outside"
--- a/src/main/kotlin/glenspool/cloud/CloudClient.kt
+++ b/src/main/kotlin/glenspool/cloud/CloudClient.kt
@@ -5,6 +5,7 @@
 import glenspool.core.model.ListedMachine
 import glenspool.http.CallResult
 import glenspool.http.HttpCaller
+import glenspool.logging.loggerOf
 import glenspool.wire.CloudWire
 import glenspool.wire.MalformedMessage
 import kotlin.time.Duration.Companion.seconds
@@ -22,7 +23,7 @@
 @Suppress("UnstableApiUsage")
 class CloudClient(private val addr: String, private val http: HttpCaller, rps: Double) {
     /** Leaves some of the rate to a node that may lead at the same time. */
-    private val rate = RateLimiter.create(rps * 0.8)
+    private val rate by lazy { RateLimiter.create(rps * 0.8) }
 
     fun typesRaw(): glenspool.wire.Fields? = read("/flavors") { it }
 
@@ -66,7 +67,7 @@
         return try {
             parse(a.body)
         } catch (e: MalformedMessage) {
-            org.slf4j.LoggerFactory.getLogger(CloudClient::class.java).warn("cloud answer not understood: {}", e.message)
+            loggerOf(CloudClient::class.java).warn("cloud answer not understood: {}", e.message)
             null
         }
     }
--- a/src/main/kotlin/glenspool/controller/CancelExchange.kt
+++ b/src/main/kotlin/glenspool/controller/CancelExchange.kt
@@ -5,13 +5,13 @@
 import glenspool.core.cluster.Cancellation
 import glenspool.core.cluster.Cancellations
 import glenspool.core.cluster.Heard
+import glenspool.logging.loggerOf
 import glenspool.peer.CancelMessage
 import glenspool.peer.PeerClient
 import glenspool.state.Keys
 import glenspool.wire.MalformedMessage
 import glenspool.wire.StateWire
 import glenspool.wire.count
-import org.slf4j.LoggerFactory
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
@@ -124,7 +124,7 @@
     )
 
     private companion object {
-        val log = LoggerFactory.getLogger(CancelExchange::class.java)
+        val log = loggerOf(CancelExchange::class.java)
 
         /** While the state service tells everybody, the exchange only has to show that the other one is there. */
         val EVERY = 2.seconds
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -29,6 +29,7 @@
 import glenspool.core.model.Report
 import glenspool.core.model.TaskState
 import glenspool.http.CallPool
+import glenspool.logging.loggerOf
 import glenspool.state.Keys
 import glenspool.state.Put
 import glenspool.state.Replica
@@ -43,11 +44,8 @@
 import glenspool.wire.StateWire
 import glenspool.wire.count
 import glenspool.worker.WorkerClient
-import org.slf4j.LoggerFactory
 import java.util.concurrent.ArrayBlockingQueue
-import java.util.concurrent.CompletableFuture
 import java.util.concurrent.LinkedBlockingQueue
-import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -68,7 +66,7 @@
     /** Another node told of these, which the state service may not have told this one. */
     data class Cancelled(val list: List<Cancellation>) : Event
 
-    data class Reported(val report: Report, val answer: CompletableFuture<Orders?>) : Event
+    data class Reported(val pending: PendingReport) : Event
 
     data class DirectEnded(val sent: Direct, val outcome: DirectOutcome, val report: Report?, val term: Term) : Event
 
@@ -143,30 +141,22 @@
         }
     }
 
-    /** Reports that wait for the core hold a thread each; users must find some too. */
-    private val reportsWaiting = Semaphore(MAX_REPORTS_WAITING)
+    private val pendingReports = PendingReports(clock::elapsedNow)
 
     /**
-     * Hands a report to the core. Null: this node does not lead, or its core is behind; then the worker's lease is kept
-     * like that of a node without a leader, and its next report tells the same.
+     * Hands a report to the core. [answer] gets null where this node does not lead, or its core is behind; then the worker's lease
+     * is kept like that of a node without a leader, and its next report tells the same. It is called once, by any thread.
      */
-    fun report(r: Report): Orders? {
-        if (leadership.current() == null || !reportsWaiting.tryAcquire()) return null
-        return try {
-            answerOf(r)
-        } finally {
-            reportsWaiting.release()
-        }
+    fun report(r: Report, answer: (Orders?) -> Unit) {
+        val pending = if (leadership.current() == null) null else pendingReports.add(r, answer)
+        if (pending == null) answer(null) else post(Event.Reported(pending))
     }
 
-    private fun answerOf(r: Report): Orders? {
-        val f = CompletableFuture<Orders?>()
-        post(Event.Reported(r, f))
-        return try {
-            f.get(2500, TimeUnit.MILLISECONDS)
-        } catch (e: java.util.concurrent.TimeoutException) {
-            log.warn("report of {} was not answered in time", r.machine)
-            null
+    /** The duty that answers reports which the core did not get to in time. */
+    fun expireReports() {
+        while (true) {
+            Thread.sleep(EXPIRE_EVERY.inWholeMilliseconds)
+            pendingReports.expire()
         }
     }
 
@@ -232,7 +222,7 @@
             Event.Deposed -> session = null
             is Event.Changes -> step { e.changes.forEach { applyChange(it) } }
             is Event.Cancelled -> step { e.list.forEach { jobCancelled(it.job, it.version, it.at) } }
-            is Event.Reported -> answer(e)
+            is Event.Reported -> answer(e.pending)
             // An earlier term's call says nothing of this term's.
             is Event.DirectEnded -> if (session?.term == e.term) step { directEnded(e.sent.machine, e.sent, e.outcome, e.report) }
             is Event.Probed -> step { probed(e.machine, e.report, e.asked) }
@@ -260,20 +250,17 @@
         actions.forEach { perform(it, s) }
     }
 
-    private fun answer(e: Event.Reported) {
+    private fun answer(pending: PendingReport) {
         val s = session
-        if (s == null || leadership.current() != s.term) {
-            e.answer.complete(null)
-            return
-        }
-        if (e.report.token > s.scheduler.token) {
-            // A worker has seen a higher token: either ours is being raised, or another node leads.
-            e.answer.complete(null)
+        // A worker that has seen a higher token: either ours is being raised, or another node leads.
+        if (s == null || leadership.current() != s.term || pending.report.token > s.scheduler.token) {
+            pending.complete(null)
             return
         }
+        if (pending.isAnswered) return
         var orders: List<Command> = emptyList()
-        step { orders = reported(e.report) }
-        e.answer.complete(Orders(s.scheduler.token, orders))
+        step { orders = reported(pending.report) }
+        pending.complete(Orders(s.scheduler.token, orders))
     }
 
     private fun begin(term: Term) {
@@ -483,10 +470,10 @@
     }
 
     companion object {
-        private val log = LoggerFactory.getLogger(CoreLoop::class.java)
+        private val log = loggerOf(CoreLoop::class.java)
         private const val QUEUE = 20_000
         private const val MAX_CALLS = 120
-        private const val MAX_REPORTS_WAITING = 128
+        private val EXPIRE_EVERY: Duration = 250.milliseconds
 
         /** A question to a lost machine holds a thread until its time is out, and hundreds may be lost at once. */
         private const val PROBES = 64
--- a/src/main/kotlin/glenspool/controller/Duties.kt
+++ b/src/main/kotlin/glenspool/controller/Duties.kt
@@ -1,6 +1,6 @@
 package glenspool.controller
 
-import org.slf4j.LoggerFactory
+import glenspool.logging.loggerOf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -45,7 +45,7 @@
     override fun close() = threads.forEach { it.interrupt() }
 
     private companion object {
-        val log = LoggerFactory.getLogger(Duties::class.java)
+        val log = loggerOf(Duties::class.java)
         const val STACK = 256L * 1024
     }
 }
--- a/src/main/kotlin/glenspool/controller/Leadership.kt
+++ b/src/main/kotlin/glenspool/controller/Leadership.kt
@@ -1,5 +1,6 @@
 package glenspool.controller
 
+import glenspool.logging.loggerOf
 import glenspool.state.Keys
 import glenspool.state.Put
 import glenspool.state.Replica
@@ -7,7 +8,6 @@
 import glenspool.state.StateResult
 import glenspool.wire.MalformedMessage
 import glenspool.wire.count
-import org.slf4j.LoggerFactory
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -155,7 +155,7 @@
     }
 
     companion object {
-        private val log = LoggerFactory.getLogger(Leadership::class.java)
+        private val log = loggerOf(Leadership::class.java)
         private val TTL = 3.seconds
 
         /** The lease less what clocks may drift in it and a margin for a stalled process. */
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -6,16 +6,18 @@
 import glenspool.config.Settings
 import glenspool.core.Tuning
 import glenspool.core.cluster.Cancellations
+import glenspool.http.AsyncHandler
 import glenspool.http.HttpCaller
 import glenspool.http.HttpListener
 import glenspool.http.hostPort
+import glenspool.logging.loggerOf
 import glenspool.peer.PeerClient
 import glenspool.peer.PeerServer
 import glenspool.peer.PeerStatus
 import glenspool.state.Replica
 import glenspool.state.StateClient
 import glenspool.worker.WorkerClient
-import org.slf4j.LoggerFactory
+import org.http4k.core.Request
 import java.util.concurrent.ThreadLocalRandom
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -23,7 +25,7 @@
 import kotlin.time.TimeSource
 
 /** One controller: all adapters and duties, wired together. */
-class Node(private val settings: Settings, tuning: Tuning, fatal: () -> Unit) : AutoCloseable {
+class Node(private val settings: Settings, tuning: Tuning, private val fatal: () -> Unit) : AutoCloseable {
     private val http = HttpCaller(800.milliseconds)
     private val state = StateClient(settings.state.hostPort(), http)
     private val cloud = CloudClient(settings.cloud.hostPort(), http, settings.cloudLimits.rps)
@@ -62,14 +64,15 @@
     private val userApi = UserApi(settings, state, replica, peers, ::isolated, { membersNew }, exchange::confirm) { loop.knownTypes() }
     private val workerApi = WorkerApi(settings, this, loop)
     private val overdue = OverdueWork(settings.workers.cancel, cancellations, replica, cloud, workers, { leadership.current() != null || leaderToName() != null }, ::wallClock)
+    private val readiness = AsyncHandler { request, respond -> respond(userApi(request)) }
     private var api: HttpListener? = null
     private var internal: HttpListener? = null
 
     fun start() {
         // Requests are taken as soon as the port is open; until the state is read they are told to come back.
-        api = HttpListener(settings.apiAddr, "api", minOf(MAX_API_THREADS, settings.maxSockets / 3)) { r -> if (r.uri.path == "/checkin") workerApi(r) else userApi(r) }
+        api = HttpListener(settings.apiAddr, "api", minOf(MAX_API_THREADS, settings.maxSockets / 3), ::withoutWaiting, fatal, userApi)
         val peerServer = PeerServer({ status() }, exchange::answer, userApi::local)
-        internal = HttpListener(settings.internalAddr, "peer", PEER_THREADS) { r -> if (r.uri.path == WarmUp.PATH) WarmUp.answer(r) else peerServer(r) }
+        internal = HttpListener(settings.internalAddr, "peer", PEER_THREADS, { null }, fatal) { r -> if (r.uri.path == WarmUp.PATH) WarmUp.answer(r) else peerServer(r) }
         duties.start("state-watch") { replica.follow() }
         duties.start("state-sync") { replica.serveSyncs() }
         duties.start("leadership") { leadership.run() }
@@ -79,11 +82,19 @@
         duties.start("peers") { watchPeers() }
         duties.start("sweep") { sweepWhileLeading() }
         settings.members.forEach { m -> duties.start("cancel-${m.name}") { exchange.run(m) } }
+        duties.start("late-reports") { loop.expireReports() }
         duties.start("overdue") { overdue.run() }
         duties.start("warm-up") { WarmUp(loop.config, settings.internalAddr.hostPort(), served = workerApi::answered) { leadership.current() != null }.run() }
         log.info("started node={} zone={} api={}", settings.node, settings.zone, settings.apiAddr.hostPort())
     }
 
+    /** What is answered by the listener's own thread, or by the core's: reports and probes, which must not wait behind users. */
+    private fun withoutWaiting(request: Request): AsyncHandler? = when (request.uri.path) {
+        "/checkin" -> workerApi
+        "/ready" -> readiness
+        else -> null
+    }
+
     private fun sweepWhileLeading() {
         val sweep = Sweep(replica, settings.stateLimits.safe.txnOps, state::transact)
         while (true) {
@@ -149,7 +160,7 @@
     }
 
     companion object {
-        private val log = LoggerFactory.getLogger(Node::class.java)
+        private val log = loggerOf(Node::class.java)
         private val FRESH: Duration = 6500.milliseconds
 
         /** The copy is looked after every second: when it is older, the state service is slow or out of reach. */
--- a/src/main/kotlin/glenspool/controller/OverdueWork.kt
+++ b/src/main/kotlin/glenspool/controller/OverdueWork.kt
@@ -7,12 +7,12 @@
 import glenspool.core.cluster.CancelledWork
 import glenspool.core.cluster.Suspect
 import glenspool.http.CallPool
+import glenspool.logging.loggerOf
 import glenspool.state.Keys
 import glenspool.state.Replica
 import glenspool.state.StoredJob
 import glenspool.wire.MalformedMessage
 import glenspool.worker.WorkerClient
-import org.slf4j.LoggerFactory
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -93,7 +93,7 @@
     override fun close() = pool.close()
 
     private companion object {
-        val log = LoggerFactory.getLogger(OverdueWork::class.java)
+        val log = loggerOf(OverdueWork::class.java)
         val EVERY = 1.seconds
         const val THREADS = 16
         const val QUEUED = 1000
--- a/src/main/kotlin/glenspool/controller/Sweep.kt
+++ b/src/main/kotlin/glenspool/controller/Sweep.kt
@@ -1,10 +1,10 @@
 package glenspool.controller
 
+import glenspool.logging.loggerOf
 import glenspool.state.Keys
 import glenspool.state.LiveKeys
 import glenspool.state.Put
 import glenspool.state.StateResult
-import org.slf4j.LoggerFactory
 
 /**
  * Removes what ended jobs, and submissions that were never accepted, left beside their records: every node reads the
@@ -32,7 +32,7 @@
     private fun recordOf(key: String) = Keys.job(key.removePrefix(prefixes.first { key.startsWith(it) }).substringBeforeLast('/'))
 
     private companion object {
-        val log = LoggerFactory.getLogger(Sweep::class.java)
+        val log = loggerOf(Sweep::class.java)
         val prefixes = listOf(Keys.CHUNK, Keys.SHELF, Keys.PIECE)
     }
 }
--- a/src/main/kotlin/glenspool/controller/WarmUp.kt
+++ b/src/main/kotlin/glenspool/controller/WarmUp.kt
@@ -6,12 +6,12 @@
 import glenspool.http.HttpCaller
 import glenspool.http.bounded
 import glenspool.http.cbor
+import glenspool.logging.loggerOf
 import glenspool.wire.Cbor
 import glenspool.wire.WorkerWire
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
-import org.slf4j.LoggerFactory
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -84,7 +84,7 @@
     }
 
     companion object {
-        private val log = LoggerFactory.getLogger(WarmUp::class.java)
+        private val log = loggerOf(WarmUp::class.java)
         const val PATH = "/peer/warm-up"
         private const val TURNS = 240
         private const val ASKS_A_TURN = 2
--- a/src/main/kotlin/glenspool/http/Http.kt
+++ b/src/main/kotlin/glenspool/http/Http.kt
@@ -1,14 +1,11 @@
 package glenspool.http
 
-import com.sun.net.httpserver.HttpServer
 import glenspool.wire.Cbor
 import glenspool.wire.Fields
 import glenspool.wire.MalformedMessage
 import org.http4k.core.Body
-import org.http4k.core.HttpHandler
 import org.http4k.core.Response
 import org.http4k.core.Status
-import org.http4k.server.HttpExchangeHandler
 import java.io.IOException
 import java.net.HttpURLConnection
 import java.net.InetSocketAddress
@@ -88,44 +85,6 @@
 
 fun InetSocketAddress.hostPort(): String = "${address.hostAddress}:$port"
 
-/** An http4k handler on the JDK's server, with bounds against slow and endless peers. */
-class HttpListener(addr: InetSocketAddress, name: String, threads: Int, handler: HttpHandler) : AutoCloseable {
-    /** Out of threads, exchanges wait their turn; the dispatcher never serves one itself, or a slow one would stop all intake. */
-    private val pool = CallPool(name, threads, threads * WAITING_EACH)
-    private val server: HttpServer = HttpServer.create(addr, BACKLOG)
-
-    init {
-        server.executor = pool
-        server.createContext("/", HttpExchangeHandler(handler))
-        server.start()
-    }
-
-    val port: Int get() = server.address.port
-
-    override fun close() {
-        server.stop(0)
-        pool.close()
-    }
-
-    companion object {
-        private const val WAITING_EACH = 8
-
-        /** Thousands of workers may come to one node within a second of another's end. */
-        private const val BACKLOG = 1024
-
-        /** The JDK server reads these once, when it is first used. */
-        fun configure(maxSockets: Int) {
-            System.setProperty("sun.net.httpserver.nodelay", "true")
-            System.setProperty("sun.net.httpserver.idleInterval", "120")
-            // A worker's connection is idle between two reports: closing it would cost a new one for each report.
-            System.setProperty("sun.net.httpserver.maxIdleConnections", (maxSockets * 3 / 4).toString())
-            System.setProperty("jdk.httpserver.maxConnections", (maxSockets * 3 / 4).toString())
-            System.setProperty("sun.net.httpserver.maxReqTime", "5")
-            System.setProperty("sun.net.httpserver.maxRspTime", "10")
-        }
-    }
-}
-
 const val MAX_BODY = 64 * 1024
 
 /** Reads a body of at most [MAX_BODY]; null if it is longer. */
--- a/src/main/kotlin/glenspool/peer/PeerServer.kt
+++ b/src/main/kotlin/glenspool/peer/PeerServer.kt
@@ -1,11 +1,11 @@
 package glenspool.peer
 
+import glenspool.logging.loggerOf
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
-import org.slf4j.LoggerFactory
 
 /** What a controller answers to the others. */
 class PeerServer(
@@ -37,7 +37,7 @@
     private fun ok(bytes: ByteArray) = Response(Status.OK).body(bytes.inputStream(), bytes.size.toLong())
 
     companion object {
-        private val log = LoggerFactory.getLogger(PeerServer::class.java)
+        private val log = loggerOf(PeerServer::class.java)
         private const val MAX_BYTES = 256 * 1024
     }
 }
--- a/src/main/kotlin/glenspool/peer/Peers.kt
+++ b/src/main/kotlin/glenspool/peer/Peers.kt
@@ -2,12 +2,12 @@
 
 import glenspool.config.Member
 import glenspool.http.hostPort
+import glenspool.logging.loggerOf
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
-import org.slf4j.LoggerFactory
 import java.io.IOException
 import java.net.HttpURLConnection
 import java.net.URI
@@ -151,7 +151,7 @@
     }
 
     companion object {
-        private val log = LoggerFactory.getLogger(PeerClient::class.java)
+        private val log = loggerOf(PeerClient::class.java)
         private val EXCHANGE_TIMEOUT = 700.milliseconds
         private const val NOT_FOUND = 404
     }
--- a/src/main/kotlin/glenspool/state/Replica.kt
+++ b/src/main/kotlin/glenspool/state/Replica.kt
@@ -1,7 +1,7 @@
 package glenspool.state
 
+import glenspool.logging.loggerOf
 import glenspool.wire.StateWire
-import org.slf4j.LoggerFactory
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentSkipListMap
 import java.util.concurrent.ExecutionException
@@ -157,7 +157,7 @@
     }
 
     companion object {
-        private val log = LoggerFactory.getLogger(Replica::class.java)
+        private val log = loggerOf(Replica::class.java)
         private const val WATCH_SHARE = 0.08
         private const val SYNC_SHARE = 0.12
         private val LOOK_EVERY = 1.seconds
--- a/src/main/kotlin/glenspool/worker/WorkerClient.kt
+++ b/src/main/kotlin/glenspool/worker/WorkerClient.kt
@@ -5,10 +5,10 @@
 import glenspool.core.model.Report
 import glenspool.http.CallResult
 import glenspool.http.HttpCaller
+import glenspool.logging.loggerOf
 import glenspool.wire.Fields
 import glenspool.wire.MalformedMessage
 import glenspool.wire.WorkerWire
-import org.slf4j.LoggerFactory
 import kotlin.time.Duration.Companion.seconds
 
 /** Requests to one worker's own address. */
@@ -41,7 +41,7 @@
     }
 
     companion object {
-        private val log = LoggerFactory.getLogger(WorkerClient::class.java)
+        private val log = loggerOf(WorkerClient::class.java)
         private val TIMEOUT = 3.seconds
     }
 }
--- a/src/test/kotlin/glenspool/layout/LayersTest.kt
+++ b/src/test/kotlin/glenspool/layout/LayersTest.kt
@@ -15,11 +15,12 @@
         "core" to setOf("core"),
         "wire" to setOf("core", "wire"),
         "config" to setOf("core", "config"),
-        "http" to setOf("wire", "http"),
-        "state" to setOf("core", "http", "wire", "state"),
-        "cloud" to setOf("core", "http", "wire", "cloud"),
-        "worker" to setOf("core", "http", "wire", "worker"),
-        "peer" to setOf("config", "http", "peer"),
+        "logging" to setOf("logging"),
+        "http" to setOf("wire", "http", "logging"),
+        "state" to setOf("core", "http", "wire", "state", "logging"),
+        "cloud" to setOf("core", "http", "wire", "cloud", "logging"),
+        "worker" to setOf("core", "http", "wire", "worker", "logging"),
+        "peer" to setOf("config", "http", "peer", "logging"),
     )
 
     private fun layer(f: File) = f.relativeTo(root).path.substringBefore('/')
