--- a/src/test/kotlin/glenspool/http/ConnectionTest.kt
+++ b/src/test/kotlin/glenspool/http/ConnectionTest.kt
@@ -16,7 +16,7 @@
 /** The server as a client on loopback sees it. */
 class ConnectionTest {
     private val waiting = LinkedBlockingQueue<(Response) -> Unit>()
-    private val server = HttpListener(InetSocketAddress("127.0.0.1", 0), "test", 2, ::direct) { r ->
+    private val server = HttpListener(InetSocketAddress("127.0.0.1", 0), "test", 2, ::direct, {}) { r ->
         if (r.uri.path == "/fails") throw IllegalStateException("as a broken handler would")
         Response(Status.OK).body(if (r.uri.path == "/large") "x".repeat(LARGE) else r.bodyString())
     }
