A leader that is behind does not take its own lateness for silent or unreachable machines

Now reports that were answered without the core still reach it, what waits is taken off the silence, and for a while after a backlog of a second silence alone, or a question without an answer, counts for nothing (a whole lease without a sign still does).

--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -102,6 +102,8 @@
     private val workers: WorkerClient,
     /** Whether every controller reads records whose parts are stored apart. */
     private val membersNew: () -> Boolean,
+    /** How long a report may have waited before this node read it. */
+    private val intakeLag: () -> Duration,
 ) : AutoCloseable {
     /** What the core is told of the deployment. */
     val config = SchedulerConfig(
@@ -137,6 +139,7 @@
         if (!queue.offer(e)) {
             log.error("event queue full")
             queue.clear()
+            pendingReports.drop()
             leadership.stepDown("event queue full")
         }
     }
@@ -196,6 +199,7 @@
             step { resumed(clock.elapsedNow() - since) }
         }
         step {
+            behind(maxOf(pendingReports.backlog(), intakeLag()))
             membersKnown(membersNew())
             tick()
         }
@@ -251,13 +255,13 @@
     }
 
     private fun answer(pending: PendingReport) {
+        pendingReports.take(pending)
         val s = session
         // A worker that has seen a higher token: either ours is being raised, or another node leads.
         if (s == null || leadership.current() != s.term || pending.report.token > s.scheduler.token) {
             pending.complete(null)
             return
         }
-        if (pending.isAnswered) return
         var orders: List<Command> = emptyList()
         step { orders = reported(pending.report) }
         pending.complete(Orders(s.scheduler.token, orders))
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -47,7 +47,7 @@
         loop.post(Event.Changes(changes))
     }
     val leadership = Leadership(settings.node, boot, state, replica, { loop.post(Event.Elected(it)) }, { loop.post(Event.Deposed) })
-    private val loop: CoreLoop = CoreLoop(settings, tuning, replica, leadership, state, cloud, workers) { membersNew }
+    private val loop: CoreLoop = CoreLoop(settings, tuning, replica, leadership, state, cloud, workers, { membersNew }) { api?.lag() ?: Duration.ZERO }
 
     @Volatile
     private var peerStatuses: List<PeerStatus> = emptyList()
@@ -65,6 +65,8 @@
     private val workerApi = WorkerApi(settings, this, loop)
     private val overdue = OverdueWork(settings.workers.cancel, cancellations, replica, cloud, workers, { leadership.current() != null || leaderToName() != null }, ::wallClock)
     private val readiness = AsyncHandler { request, respond -> respond(userApi(request)) }
+
+    @Volatile
     private var api: HttpListener? = null
     private var internal: HttpListener? = null
 
--- a/src/main/kotlin/glenspool/controller/PendingReports.kt
+++ b/src/main/kotlin/glenspool/controller/PendingReports.kt
@@ -8,16 +8,22 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** A worker's report that waits for the core. It is answered once, by whoever is first. */
-class PendingReport internal constructor(val report: Report, internal val since: Duration, private val answer: (Orders?) -> Unit, private val released: () -> Unit) {
-    private val done = AtomicBoolean()
+/**
+ * A worker's report that waits for the core. It is answered once, by whoever is first; the core takes it in even if it was
+ * answered before, since it still tells that the machine is alive.
+ */
+class PendingReport internal constructor(val report: Report, internal val since: Duration, private val answer: (Orders?) -> Unit) {
+    private val answered = AtomicBoolean()
+
+    /** The core has taken it in. */
+    @Volatile
+    internal var taken = false
 
-    val isAnswered: Boolean get() = done.get()
+    internal val isAnswered: Boolean get() = answered.get()
 
     /** Null: this node has no orders to give. False: it was answered before. */
     fun complete(orders: Orders?): Boolean {
-        if (!done.compareAndSet(false, true)) return false
-        released()
+        if (!answered.compareAndSet(false, true)) return false
         answer(orders)
         return true
     }
@@ -28,27 +34,53 @@
  * the core, and the same goes for one that has waited so long that its worker would soon turn elsewhere. [clock]: any steady time.
  */
 class PendingReports(private val clock: () -> Duration) {
+    /** In the order in which they came. */
     private val queue = ConcurrentLinkedQueue<PendingReport>()
     private val waiting = AtomicInteger()
+    private val refused = AtomicBoolean()
 
     /** Null: too many wait. */
     fun add(report: Report, answer: (Orders?) -> Unit): PendingReport? {
         if (waiting.incrementAndGet() > MAX_WAITING) {
             waiting.decrementAndGet()
+            refused.set(true)
             return null
         }
-        return PendingReport(report, clock(), answer) { waiting.decrementAndGet() }.also { queue.add(it) }
+        return PendingReport(report, clock(), answer).also { queue.add(it) }
+    }
+
+    /** The core takes [pending] in. */
+    fun take(pending: PendingReport) {
+        if (pending.taken) return
+        pending.taken = true
+        waiting.decrementAndGet()
+        forgetTaken()
+    }
+
+    private fun forgetTaken() {
+        while (queue.peek()?.taken == true) queue.poll()
+    }
+
+    /** The core will take none of them in any more. */
+    fun drop() {
+        for (pending in queue) {
+            take(pending)
+            pending.complete(null)
+        }
+    }
+
+    /** How far the core is behind: how long the oldest report has waited for it, or more if some were refused since the last call. */
+    fun backlog(): Duration {
+        val oldest = queue.firstOrNull { !it.taken }?.let { clock() - it.since } ?: Duration.ZERO
+        return if (refused.getAndSet(false)) maxOf(oldest, PATIENCE) else oldest
     }
 
-    /** Answers those that have waited for too long, and forgets those that are answered. */
+    /** Answers those that have waited for too long. */
     fun expire() {
-        while (true) {
-            val oldest = queue.peek() ?: return
-            if (!oldest.isAnswered) {
-                if (clock() - oldest.since < PATIENCE) return
-                if (oldest.complete(null)) log.warn("report of {} was not answered in time", oldest.report.machine)
-            }
-            queue.remove(oldest)
+        for (pending in queue) {
+            if (pending.taken || pending.isAnswered) continue
+            if (clock() - pending.since < PATIENCE) return
+            if (pending.complete(null)) log.warn("report of {} was not answered in time", pending.report.machine)
         }
     }
 
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -264,7 +264,7 @@
     fun probed(machine: String, report: Report?, asked: Boolean = true) {
         val known = machines[machine]
         if (report == null || report.machine != machine) {
-            if (asked) known?.unanswered(now)
+            if (asked && !overloaded) known?.unanswered(now)
             return
         }
         known?.reached(now)
@@ -273,6 +273,23 @@
         if (m.token < token && !m.directBusy && !m.deleting) orders.send(m, emptyList())
     }
 
+    /** How long what is handled now has waited in this process. */
+    var backlog: Duration = Duration.ZERO
+        private set
+    private var overloadedUntil = startedAt
+
+    /**
+     * Whether this process is too slow for what comes in, or was a short while ago. Its workers may have turned to other nodes
+     * meanwhile, and answers may have come too late: neither silence nor a question without an answer says much then.
+     */
+    val overloaded: Boolean get() = now < overloadedUntil
+
+    /** Tells how far this process is behind with what comes in. */
+    fun behind(backlog: Duration) {
+        this.backlog = backlog
+        if (backlog >= OVERLOADED) overloadedUntil = now + config.lease * OVERLOAD_SHARE
+    }
+
     /**
      * The process stood still or could not lead for that long: what was not heard meanwhile proves nothing. Without
      * this a leader that outlived an outage of the state service would take itself for deaf, and resign.
@@ -542,6 +559,12 @@
         private const val DEADLINE_MARGIN = 1.3
         private val HOPELESS = 3600.seconds
         private val STALL = 3.seconds
+
+        /** A worker turns elsewhere after 4 s without an answer, and one whose answers take this long is not far from it. */
+        private val OVERLOADED = 1.seconds
+
+        /** The share of a lease for which the consequences last: a worker finds the way back to its leader in that time. */
+        private const val OVERLOAD_SHARE = 0.6
         val GRACE_SLACK = 2.seconds
     }
 }
--- a/src/main/kotlin/glenspool/core/cluster/Orders.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Orders.kt
@@ -77,7 +77,7 @@
         when (outcome) {
             DirectOutcome.DONE -> m.reached(core.now)
             DirectOutcome.REFUSED -> m.reached(core.now)
-            DirectOutcome.NOT_SENT, DirectOutcome.UNKNOWN -> m.unanswered(m.directAt ?: core.now)
+            DirectOutcome.NOT_SENT, DirectOutcome.UNKNOWN -> if (!core.overloaded) m.unanswered(m.directAt ?: core.now)
             DirectOutcome.NOT_TRIED -> Unit
         }
         if (outcome == DirectOutcome.UNKNOWN) {
--- a/src/main/kotlin/glenspool/core/cluster/Watch.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Watch.kt
@@ -78,7 +78,8 @@
             if (m.deleteSent == null && now >= m.directRetry) sendDelete(m)
             return
         }
-        val quiet = now - (m.heard ?: maxOf(m.firstSeen, core.startedAt))
+        // What this process has yet to take in may have come from this very machine.
+        val quiet = now - (m.heard ?: maxOf(m.firstSeen, core.startedAt)) - core.backlog
         if (m.booting && !m.everHeard) {
             val boot = core.types[m.type]?.boot ?: 60.seconds
             val age = maxOf(m.age, now - m.firstSeen)
@@ -111,9 +112,10 @@
         val limit = if (isGone(m) && m.listed) config.report * 2.5 else silence
         // Silence for two leases is given up in any case: if most machines are really lost, waiting would never end.
         if (quiet > limit && (mostAreHeard(m) || quiet > config.lease * 2)) {
-            // A worker may need most of its lease to find a new leader: each dead node costs it a time-out. Until
-            // then only questions without an answer show that the machine itself is lost.
-            if (!m.everHeard && quiet <= config.lease && !isGone(m) && m.mutedSince.let { it == null || now - it < probeGap + UNANSWERED_TWICE }) return
+            // A worker may need most of its lease to find a new leader, or one that was too slow to answer it: each dead node
+            // costs it a time-out. Until then only questions without an answer show that the machine itself is lost.
+            val mayBeElsewhere = (!m.everHeard || core.overloaded) && quiet <= config.lease && !isGone(m)
+            if (mayBeElsewhere && m.mutedSince.let { it == null || now - it < probeGap + UNANSWERED_TWICE }) return
             delete(m, "silent")
         }
     }
@@ -196,6 +198,7 @@
             up++
             m.heard?.let { h -> last = maxOf(last ?: h, h) }
         }
+        if (core.overloaded) return false
         if (up < DEAF_MACHINES) return false
         return last.let { if (it == null) now - core.startedAt > config.lease * 0.6 else now - it > maxOf(config.report * 2.5, 3.seconds) }
     }
--- a/src/main/kotlin/glenspool/http/HttpListener.kt
+++ b/src/main/kotlin/glenspool/http/HttpListener.kt
@@ -13,6 +13,7 @@
 import java.nio.channels.SelectionKey
 import java.nio.channels.Selector
 import java.nio.channels.ServerSocketChannel
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
@@ -48,6 +49,7 @@
     private val input = ByteBuffer.allocate(READ_BUFFER)
     private val clock = TimeSource.Monotonic.markNow()
     private val maxOpen = maxConnections
+    private val passes = PassTimer(clock::elapsedNow)
     private var open = 0
     private var sweptAt = clock.elapsedNow()
 
@@ -93,10 +95,12 @@
         while (!closed) {
             try {
                 selector.select(SWEEP_EVERY.inWholeMilliseconds)
+                passes.begin()
                 val ready = selector.selectedKeys()
                 ready.forEach(::attend)
                 ready.clear()
                 sweep()
+                passes.end()
             } catch (e: IOException) {
                 log.error("listener failed", e)
             }
@@ -152,6 +156,9 @@
         open = stillOpen
     }
 
+    /** How long bytes that have arrived may have waited to be read. */
+    fun lag(): Duration = passes.lag()
+
     override fun close() {
         closed = true
         selector.wakeup()
