--- a/src/main/kotlin/glenspool/http/Connection.kt
+++ b/src/main/kotlin/glenspool/http/Connection.kt
@@ -70,9 +70,9 @@
     private fun nextRequest(): ParsedRequest? {
         val parsed = try {
             parser.next()
-        } catch (e: BadRequest) {
+        } catch (e: BadMessage) {
             log.debug("bad request", e)
-            send(writer.write(Response(e.status), keepAlive = false, withBody = true), keepAlive = false)
+            send(writer.write(Response(Status.fromCode(e.status) ?: Status.BAD_REQUEST), keepAlive = false, withBody = true), keepAlive = false)
             return null
         }
         if (parsed != null) {
--- a/src/main/kotlin/glenspool/peer/Peers.kt
+++ b/src/main/kotlin/glenspool/peer/Peers.kt
@@ -1,6 +1,8 @@
 package glenspool.peer
 
 import glenspool.config.Member
+import glenspool.http.HttpCaller
+import glenspool.http.RawResult
 import glenspool.http.hostPort
 import glenspool.logging.loggerOf
 import kotlinx.serialization.ExperimentalSerializationApi
@@ -8,9 +10,6 @@
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
-import java.io.IOException
-import java.net.HttpURLConnection
-import java.net.URI
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -91,6 +90,8 @@
 
 /** Requests to the other controllers. They are hints and relays only: no rule rests on a peer's silence. */
 class PeerClient(private val members: List<Member>) {
+    private val http = HttpCaller(CONNECT_TIMEOUT)
+
     fun statuses(): List<PeerStatus> = members.mapNotNull { m ->
         call(m, PeerPaths.STATUS, null, 700.milliseconds, PeerWire::status)
     }
@@ -128,22 +129,13 @@
 
     /** The status, and what was read of a 200. Null: no answer, or one that can't be read. */
     private fun <T> request(m: Member, path: String, body: ByteArray?, timeout: Duration, read: (ByteArray) -> T): Pair<Int, T?>? {
-        val c = URI("http://${m.addr.hostPort()}$path").toURL().openConnection() as HttpURLConnection
+        val r = http.callRaw(if (body == null) "GET" else "POST", m.addr.hostPort(), path, body, timeout)
+        if (r !is RawResult.Answer) {
+            log.debug("peer {} did not answer: {}", m.name, r)
+            return null
+        }
         return try {
-            c.connectTimeout = 400
-            c.readTimeout = timeout.inWholeMilliseconds.toInt()
-            c.useCaches = false
-            if (body != null) {
-                c.requestMethod = "POST"
-                c.doOutput = true
-                c.setFixedLengthStreamingMode(body.size)
-                c.outputStream.use { it.write(body) }
-            }
-            val status = c.responseCode
-            status to if (status == 200) read(c.inputStream.use { it.readAllBytes() }) else null
-        } catch (e: IOException) {
-            log.debug("peer {} did not answer: {}", m.name, e.toString())
-            null
+            r.status to if (r.status == OK) read(r.body) else null
         } catch (e: kotlinx.serialization.SerializationException) {
             log.warn("peer {} not understood: {}", m.name, e.toString())
             null
@@ -153,6 +145,8 @@
     companion object {
         private val log = loggerOf(PeerClient::class.java)
         private val EXCHANGE_TIMEOUT = 700.milliseconds
+        private val CONNECT_TIMEOUT = 400.milliseconds
+        private const val OK = 200
         private const val NOT_FOUND = 404
     }
 }
--- a/src/test/kotlin/glenspool/http/RequestParserTest.kt
+++ b/src/test/kotlin/glenspool/http/RequestParserTest.kt
@@ -82,7 +82,7 @@
             "GET / HTTP/1.1\r\nX: ${"y".repeat(17_000)}" to 431,
         )
         for ((text, status) in refused) {
-            assertEquals(status, assertThrows(BadRequest::class.java, { parser(text).next() }, text.take(60)).status.code, text.take(60))
+            assertEquals(status, assertThrows(BadMessage::class.java, { parser(text).next() }, text.take(60)).status, text.take(60))
         }
     }
 }
