--- a/src/main/kotlin/glenspool/controller/CancelExchange.kt
+++ b/src/main/kotlin/glenspool/controller/CancelExchange.kt
@@ -8,10 +8,8 @@
 import glenspool.logging.loggerOf
 import glenspool.peer.CancelMessage
 import glenspool.peer.PeerClient
-import glenspool.state.Keys
 import glenspool.wire.MalformedMessage
 import glenspool.wire.StateWire
-import glenspool.wire.count
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
@@ -42,10 +40,8 @@
     fun stored(changes: List<StateWire.Change>) {
         var any = false
         for (c in changes) {
-            val value = c.value ?: continue
-            if (!c.key.startsWith(Keys.CANCEL)) continue
             try {
-                any = cancellations.add(Cancellation(c.key.removePrefix(Keys.CANCEL), value.count("at").milliseconds, c.version)) || any
+                any = c.cancellation()?.let(cancellations::add) ?: false || any
             } catch (e: MalformedMessage) {
                 log.error("stored record {} is not readable", c.key, e)
             }
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -14,17 +14,14 @@
 import glenspool.core.Rent
 import glenspool.core.Resign
 import glenspool.core.SaveImages
-import glenspool.core.SaveJob
 import glenspool.core.Scheduler
 import glenspool.core.SchedulerConfig
 import glenspool.core.Store
 import glenspool.core.StoreOutcome
 import glenspool.core.Tuning
-import glenspool.core.cluster.Cancellation
 import glenspool.core.cluster.Overdue
 import glenspool.core.model.Command
 import glenspool.core.model.JobEnd
-import glenspool.core.model.ListedMachine
 import glenspool.core.model.MachineType
 import glenspool.core.model.Report
 import glenspool.core.model.TaskState
@@ -36,58 +33,18 @@
 import glenspool.state.StateClient
 import glenspool.state.StateResult
 import glenspool.state.StoredJob
-import glenspool.wire.CloudWire
-import glenspool.wire.Fields
 import glenspool.wire.FinalWire
 import glenspool.wire.ImagesWire
 import glenspool.wire.MalformedMessage
 import glenspool.wire.StateWire
 import glenspool.wire.count
 import glenspool.worker.WorkerClient
-import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
-/** What worker answers look like: the token they carry and the orders. */
-data class Orders(val token: Long, val commands: List<Command>)
-
-/** Everything that reaches the core. */
-sealed interface Event {
-    data class Elected(val term: Term) : Event
-
-    data object Deposed : Event
-
-    data class Changes(val changes: List<StateWire.Change>) : Event
-
-    /** Another node told of these, which the state service may not have told this one. */
-    data class Cancelled(val list: List<Cancellation>) : Event
-
-    data class Reported(val pending: PendingReport) : Event
-
-    data class DirectEnded(val sent: Direct, val outcome: DirectOutcome, val report: Report?, val term: Term) : Event
-
-    /** [asked]: whether the question was sent at all. */
-    data class Probed(val machine: String, val report: Report?, val asked: Boolean) : Event
-
-    data class Listed(val list: List<ListedMachine>) : Event
-
-    data class Types(val list: List<MachineType>) : Event
-
-    data class RentEnded(val request: Rent, val outcome: RentOutcome) : Event
-
-    data class DeleteEnded(val machines: List<String>, val ok: Boolean) : Event
-
-    data class Stored(val outcome: StoreOutcome, val term: Term) : Event
-
-    data class Raised(val token: Long?) : Event
-
-    data class EndsRead(val asked: List<String>, val found: Map<String, JobEnd>, val term: Term) : Event
-}
-
 /**
  * Owns the core: one thread takes events from one queue, steps the [Scheduler] and hands its actions to the
  * adapters' threads. Nothing that a rule depends on leaves here while the leadership is not certain.
@@ -100,6 +57,8 @@
     private val state: StateClient,
     private val cloud: CloudClient,
     private val workers: WorkerClient,
+    private val writer: StateWriter,
+    private val knownTypes: () -> List<MachineType>?,
     /** Whether every controller reads records whose parts are stored apart. */
     private val membersNew: () -> Boolean,
     /** How long a report may have waited before this node read it. */
@@ -119,13 +78,8 @@
     private val clock = TimeSource.Monotonic.markNow()
     private var session: Session? = null
     private var pausedSince: Duration? = null
-    private val writes = ArrayBlockingQueue<Pair<Term, Store>>(4)
-
     private val stored = StoredJob(replica)
 
-    @Volatile
-    var types: List<MachineType>? = null
-
     /** A machine that does not answer holds a thread for seconds, and tens of them may be lost at once. */
     private val pool = CallPool("call", MAX_CALLS, QUEUED_CALLS)
 
@@ -146,14 +100,10 @@
 
     private val pendingReports = PendingReports(clock::elapsedNow)
 
-    /**
-     * Hands a report to the core. [answer] gets null where this node does not lead, or its core is behind; then the worker's lease
-     * is kept like that of a node without a leader, and its next report tells the same. It is called once, by any thread.
-     */
-    fun report(r: Report, answer: (Orders?) -> Unit) {
-        val pending = if (leadership.current() == null) null else pendingReports.add(r, answer)
-        if (pending == null) answer(null) else post(Event.Reported(pending))
-    }
+    private val intake = ReportIntake(pendingReports, leadership::current) { post(Event.Reported(it)) }
+
+    /** See [ReportIntake.take]. */
+    fun report(r: Report, answer: (Orders?) -> Unit) = intake.take(r, answer)
 
     /** The duty that answers reports which the core did not get to in time. */
     fun expireReports() {
@@ -279,6 +229,7 @@
             replica.under(Keys.JOB).forEach { applyChange(StateWire.Change(it.key, it.value, it.version)) }
             replica.under(Keys.CANCEL).forEach { applyChange(StateWire.Change(it.key, it.value, it.version)) }
         }
+        intake.begun = term
         log.info("leading token={} jobs={}", term.token, scheduler.jobs.size)
     }
 
@@ -289,16 +240,6 @@
         emptyMap()
     }
 
-    /** The machine types last read from the cloud or, before that, the stored ones. */
-    fun knownTypes(): List<MachineType>? = types ?: replica.get(Keys.TYPES)?.let {
-        try {
-            CloudWire.decodeTypes(it.value).also { list -> types = list }
-        } catch (e: MalformedMessage) {
-            log.error("stored machine types are not readable", e)
-            null
-        }
-    }
-
     private fun Scheduler.applyChange(c: StateWire.Change) {
         try {
             val value = c.value
@@ -315,8 +256,7 @@
                         jobStored(stored.read(id, value), c.version)
                     }
                 }
-                c.key.startsWith(Keys.CANCEL) && value != null ->
-                    jobCancelled(c.key.removePrefix(Keys.CANCEL), c.version, value.count("at").milliseconds)
+                else -> c.cancellation()?.let { jobCancelled(it.job, it.version, it.at) }
             }
         } catch (e: MalformedMessage) {
             log.error("stored record {} is not readable", c.key, e)
@@ -353,7 +293,7 @@
             is AskEnds -> call({ post(Event.EndsRead(a.jobs, emptyMap(), s.term)) }) { post(Event.EndsRead(a.jobs, readEnds(a.jobs), s.term)) }
             is Resign -> call({ log.warn("could not resign") }) { leadership.resign(a.why, settings.workers.lease) }
             is Note -> if (a.important) log.info(a.text) else log.debug(a.text)
-            is Store -> if (!writes.offer(s.term to a)) post(Event.Stored(StoreOutcome.Unknown, s.term))
+            is Store -> if (!writer.offer(s.term, a)) post(Event.Stored(StoreOutcome.Unknown, s.term))
         }
     }
 
@@ -390,85 +330,6 @@
         }
     }
 
-    /** The duty that writes to the state service, one transaction at a time. */
-    fun write() {
-        while (!Thread.currentThread().isInterrupted) {
-            val (term, store) = writes.take()
-            post(Event.Stored(if (leadership.current() == term) transact(term, store) else StoreOutcome.Refused(emptySet()), term))
-        }
-    }
-
-    private fun transact(term: Term, store: Store): StoreOutcome {
-        val (conditions, puts, removes) = transactionOf(term.mark, store)
-        val r = state.transact(conditions, puts, removes)
-        if (log.isDebugEnabled) log.debug("store {} -> {}", store.writes.map { it.id }, r)
-        return when (r) {
-            is StateResult.Ok -> StoreOutcome.Stored(r.value)
-            is StateResult.Conflict -> {
-                if (Keys.LEAD in r.keys) {
-                    leadership.stepDown("a write was refused")
-                } else {
-                    log.info("store conflict keys={}", r.keys)
-                    replica.sync(1.seconds)
-                }
-                StoreOutcome.Refused(r.keys.toSet())
-            }
-            is StateResult.Refused -> if (r.status == 400) tooLarge(term, store) else StoreOutcome.Refused(emptySet())
-            else -> {
-                // It may have been applied, or may be later: the versions read now decide, and each write's
-                // condition on the job's version keeps a late one from undoing a newer.
-                replica.sync(2.seconds)
-                StoreOutcome.Unknown
-            }
-        }
-    }
-
-    /**
-     * Larger than the state service takes by now. If it is one job's record, its description is stored in pieces: what
-     * they hold never changes, so they may be written at any time and by anybody.
-     */
-    private fun tooLarge(term: Term, store: Store): StoreOutcome {
-        val save = store.writes.singleOrNull() as? SaveJob
-        if (save == null || save.record.pieces > 0) return StoreOutcome.TooLarge()
-        val pieces = StoredJob.pieces(save.record, settings.stateLimits.safe.valueBytes)
-        for (puts in pieces.chunked(settings.stateLimits.safe.txnOps)) {
-            if (state.transact(mapOf(Keys.LEAD to term.mark), puts) !is StateResult.Ok) return StoreOutcome.TooLarge()
-        }
-        return StoreOutcome.TooLarge(mapOf(save.id to pieces.size))
-    }
-
-    /** The duty that reads the cloud's list and types while leading. */
-    fun watchCloud() {
-        var typesAt = -1000.seconds
-        while (!Thread.currentThread().isInterrupted) {
-            val term = leadership.current()
-            if (term == null) {
-                Thread.sleep(200)
-                continue
-            }
-            if (clock.elapsedNow() - typesAt > 30.seconds) {
-                val raw = cloud.typesRaw()
-                if (raw != null) {
-                    typesAt = clock.elapsedNow()
-                    val list = CloudWire.decodeTypes(raw)
-                    types = list
-                    post(Event.Types(list))
-                    storeTypes(term, raw)
-                }
-            }
-            cloud.machines()?.let { post(Event.Listed(it)) }
-            Thread.sleep(maxOf(1.seconds, settings.cloudLimits.listLag / 3).inWholeMilliseconds)
-        }
-    }
-
-    /** The last known types are kept, so that a node can judge submissions while the cloud is silent. */
-    private fun storeTypes(term: Term, raw: Fields) {
-        val known = replica.get(Keys.TYPES)
-        if (known != null && CloudWire.decodeTypes(known.value).map { it.name to it.room } == CloudWire.decodeTypes(raw).map { it.name to it.room }) return
-        val r = state.transact(mapOf(Keys.LEAD to term.mark, Keys.TYPES to (known?.version ?: 0L)), listOf(Put(Keys.TYPES, raw)))
-        if (r !is StateResult.Ok) log.info("machine types not stored: {}", r)
-    }
-
     override fun close() {
         listOf(pool, probePool, cloudPool).forEach { it.close() }
     }
--- a/src/main/kotlin/glenspool/controller/Duties.kt
+++ b/src/main/kotlin/glenspool/controller/Duties.kt
@@ -8,25 +8,35 @@
 class Duties(private val fatal: () -> Unit, private val pause: Duration = 500.milliseconds) : AutoCloseable {
     private val threads = ArrayList<Thread>()
 
-    fun start(name: String, body: () -> Unit) {
-        val t = Thread(null, { serve(name, body) }, name, STACK)
+    /** A duty that goes on until it is interrupted: whenever [body] returns or fails it is begun again. */
+    fun start(name: String, body: () -> Unit) = launch(name) {
+        while (!Thread.currentThread().isInterrupted) attempt(name, body)
+    }
+
+    /** A duty that is over when [body] has returned or failed once. */
+    fun startOnce(name: String, body: () -> Unit) = launch(name) { attempt(name, body) }
+
+    private fun launch(name: String, run: () -> Unit) {
+        val t = Thread(null, { serve(name, run) }, name, STACK)
         t.isDaemon = true
         t.start()
         threads.add(t)
     }
 
-    private fun serve(name: String, body: () -> Unit) {
+    private fun attempt(name: String, body: () -> Unit) {
         try {
-            while (!Thread.currentThread().isInterrupted) {
-                try {
-                    body()
-                } catch (e: Exception) {
-                    if (e is InterruptedException) throw e
-                    // A duty that dies would leave the node half alive: it is logged and begun again.
-                    log.error("duty {} failed", name, e)
-                    Thread.sleep(pause.inWholeMilliseconds)
-                }
-            }
+            body()
+        } catch (e: Exception) {
+            if (e is InterruptedException) throw e
+            // A duty that dies would leave the node half alive: it is logged and begun again.
+            log.error("duty {} failed", name, e)
+            Thread.sleep(pause.inWholeMilliseconds)
+        }
+    }
+
+    private fun serve(name: String, run: () -> Unit) {
+        try {
+            run()
         } catch (e: InterruptedException) {
             log.debug("duty {} ends", name)
         } catch (e: Throwable) {
--- /dev/null
+++ b/src/main/kotlin/glenspool/controller/Events.kt
@@ -0,0 +1,50 @@
+package glenspool.controller
+
+import glenspool.cloud.RentOutcome
+import glenspool.core.Direct
+import glenspool.core.DirectOutcome
+import glenspool.core.Rent
+import glenspool.core.StoreOutcome
+import glenspool.core.cluster.Cancellation
+import glenspool.core.model.Command
+import glenspool.core.model.JobEnd
+import glenspool.core.model.ListedMachine
+import glenspool.core.model.MachineType
+import glenspool.core.model.Report
+import glenspool.wire.StateWire
+
+/** What worker answers look like: the token they carry and the orders. */
+data class Orders(val token: Long, val commands: List<Command>)
+
+/** Everything that reaches the core. */
+sealed interface Event {
+    data class Elected(val term: Term) : Event
+
+    data object Deposed : Event
+
+    data class Changes(val changes: List<StateWire.Change>) : Event
+
+    /** Another node told of these, which the state service may not have told this one. */
+    data class Cancelled(val list: List<Cancellation>) : Event
+
+    data class Reported(val pending: PendingReport) : Event
+
+    data class DirectEnded(val sent: Direct, val outcome: DirectOutcome, val report: Report?, val term: Term) : Event
+
+    /** [asked]: whether the question was sent at all. */
+    data class Probed(val machine: String, val report: Report?, val asked: Boolean) : Event
+
+    data class Listed(val list: List<ListedMachine>) : Event
+
+    data class Types(val list: List<MachineType>) : Event
+
+    data class RentEnded(val request: Rent, val outcome: RentOutcome) : Event
+
+    data class DeleteEnded(val machines: List<String>, val ok: Boolean) : Event
+
+    data class Stored(val outcome: StoreOutcome, val term: Term) : Event
+
+    data class Raised(val token: Long?) : Event
+
+    data class EndsRead(val asked: List<String>, val found: Map<String, JobEnd>, val term: Term) : Event
+}
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -47,7 +47,9 @@
         loop.post(Event.Changes(changes))
     }
     val leadership = Leadership(settings.node, boot, state, replica, { loop.post(Event.Elected(it)) }, { loop.post(Event.Deposed) })
-    private val loop: CoreLoop = CoreLoop(settings, tuning, replica, leadership, state, cloud, workers, { membersNew }) { api?.lag() ?: Duration.ZERO }
+    private val writer = StateWriter(settings.stateLimits.safe, state, replica, leadership) { outcome, term -> loop.post(Event.Stored(outcome, term)) }
+    private val cloudWatch = CloudWatch(settings.cloudLimits.listLag, cloud, state, replica, leadership) { loop.post(it) }
+    private val loop: CoreLoop = CoreLoop(settings, tuning, replica, leadership, state, cloud, workers, writer, cloudWatch::knownTypes, { membersNew }, ::intakeLag)
 
     @Volatile
     private var peerStatuses: List<PeerStatus> = emptyList()
@@ -61,7 +63,7 @@
     @Volatile
     private var membersNew = settings.members.isEmpty()
     private var membersAskedAt = TimeSource.Monotonic.markNow() - MEMBERS_LOOK
-    private val userApi = UserApi(settings, state, replica, peers, ::isolated, { membersNew }, exchange::confirm) { loop.knownTypes() }
+    private val userApi = UserApi(settings, state, replica, peers, ::isolated, { membersNew }, exchange::confirm, cloudWatch::knownTypes)
     private val workerApi = WorkerApi(settings, this, loop)
     private val overdue = OverdueWork(settings.workers.cancel, cancellations, replica, cloud, workers, { leadership.current() != null || leaderToName() != null }, ::wallClock)
     private val readiness = AsyncHandler { request, respond -> respond(userApi(request)) }
@@ -79,17 +81,19 @@
         duties.start("state-sync") { replica.serveSyncs() }
         duties.start("leadership") { leadership.run() }
         duties.start("core") { loop.run() }
-        duties.start("cloud") { loop.watchCloud() }
-        duties.start("writer") { loop.write() }
+        duties.start("cloud") { cloudWatch.run() }
+        duties.start("writer") { writer.run() }
         duties.start("peers") { watchPeers() }
         duties.start("sweep") { sweepWhileLeading() }
         settings.members.forEach { m -> duties.start("cancel-${m.name}") { exchange.run(m) } }
         duties.start("late-reports") { loop.expireReports() }
         duties.start("overdue") { overdue.run() }
-        duties.start("warm-up") { WarmUp(loop.config, settings.internalAddr.hostPort(), served = workerApi::answered) { leadership.current() != null }.run() }
+        duties.startOnce("warm-up") { WarmUp(loop.config, settings.internalAddr.hostPort(), served = workerApi::answered) { leadership.current() != null }.run() }
         log.info("started node={} zone={} api={}", settings.node, settings.zone, settings.apiAddr.hostPort())
     }
 
+    private fun intakeLag(): Duration = api?.lag() ?: Duration.ZERO
+
     /** What is answered by the listener's own thread, or by the core's: reports and probes, which must not wait behind users. */
     private fun withoutWaiting(request: Request): AsyncHandler? = when (request.uri.path) {
         "/checkin" -> workerApi
--- a/src/main/kotlin/glenspool/controller/OverdueWork.kt
+++ b/src/main/kotlin/glenspool/controller/OverdueWork.kt
@@ -1,6 +1,7 @@
 package glenspool.controller
 
 import glenspool.cloud.CloudClient
+import glenspool.core.Delete
 import glenspool.core.Direct
 import glenspool.core.DirectOutcome
 import glenspool.core.cluster.Cancellations
@@ -62,7 +63,7 @@
             if (!taken) asked.remove(s.machine)
         }
         val late = work.late(wall())
-        for (machines in late.chunked(MOST_DELETED)) {
+        for (machines in late.chunked(Delete.MAX_MACHINES)) {
             val ok = cloud.delete(machines)
             log.info("delete machines={} reason=cancelled-work leading=false ok={}", machines, ok)
             if (ok) machines.forEach(work::gone)
@@ -99,6 +100,5 @@
         const val QUEUED = 1000
 
         /** So many names a request to the cloud may hold. */
-        const val MOST_DELETED = 100
     }
 }
--- a/src/main/kotlin/glenspool/controller/PendingReports.kt
+++ b/src/main/kotlin/glenspool/controller/PendingReports.kt
@@ -70,10 +70,10 @@
     }
 
     /** How far the core is behind: how long the oldest report has waited for it, or more if some were refused since the last call. */
-    fun backlog(): Duration {
-        val oldest = queue.firstOrNull { !it.taken }?.let { clock() - it.since } ?: Duration.ZERO
-        return if (refused.getAndSet(false)) maxOf(oldest, PATIENCE) else oldest
-    }
+    fun backlog(): Duration = if (refused.getAndSet(false)) maxOf(oldestWait(), PATIENCE) else oldestWait()
+
+    /** How long the oldest report has waited for the core. */
+    fun oldestWait(): Duration = queue.firstOrNull { !it.taken }?.let { clock() - it.since } ?: Duration.ZERO
 
     /** Answers those that have waited for too long. */
     fun expire() {
--- a/src/main/kotlin/glenspool/controller/WarmUp.kt
+++ b/src/main/kotlin/glenspool/controller/WarmUp.kt
@@ -33,18 +33,8 @@
 ) {
     private val http = HttpCaller(500.milliseconds)
 
-    /** The duty; it ends by itself. */
+    /** The duty; it is over when this returns. Nothing rests on it: where it fails the node only stays colder. */
     fun run() {
-        try {
-            warm()
-        } catch (e: RuntimeException) {
-            // Nothing rests on it: the node only stays colder.
-            log.error("warm-up failed", e)
-        }
-        Thread.currentThread().interrupt()
-    }
-
-    private fun warm() {
         Thread.sleep(pauseFirst.inWholeMilliseconds)
         val begun = TimeSource.Monotonic.markNow()
         val fleet = Rehearsing(config)
--- a/src/main/kotlin/glenspool/core/Actions.kt
+++ b/src/main/kotlin/glenspool/core/Actions.kt
@@ -15,7 +15,12 @@
 
 data class Rent(val request: String, val type: String, val zone: String, val spot: Boolean, val count: Int) : Action
 
-data class Delete(val machines: List<String>) : Action
+data class Delete(val machines: List<String>) : Action {
+    companion object {
+        /** How many machines the cloud deletes at one request. */
+        const val MAX_MACHINES = 100
+    }
+}
 
 /** Raise the token, so that commands on their way become void. */
 data object RaiseToken : Action
--- a/src/main/kotlin/glenspool/core/Rehearsing.kt
+++ b/src/main/kotlin/glenspool/core/Rehearsing.kt
@@ -61,7 +61,7 @@
     /** A moment of a leader's life: every machine reports, a few jobs come, one is cancelled. */
     fun turn() {
         now += 250.milliseconds
-        repeat(JOBS_A_TURN) { submit() }
+        submit()
         if (jobs % 5 == 0) step { jobCancelled("job-${jobs - 2}", ++revision, now) }
         for (m in 0 until MACHINES) {
             now += 1.milliseconds
@@ -130,7 +130,6 @@
 
     private companion object {
         const val MACHINES = 12
-        const val JOBS_A_TURN = 1
         const val TURNS_A_TASK = 4
         const val MOST_ANSWERS = 50
     }
--- a/src/main/kotlin/glenspool/core/cluster/Watch.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Watch.kt
@@ -236,7 +236,7 @@
     fun flush() {
         if (toDelete.isEmpty() || now - deletedAt < DELETE_GAP) return
         deletedAt = now
-        val batch = toDelete.take(MAX_DELETE)
+        val batch = toDelete.take(Delete.MAX_MACHINES)
         toDelete.removeAll(batch.toSet())
         core.act(Delete(batch))
     }
@@ -246,7 +246,6 @@
         const val MAX_CONTROLS = 6
         const val PROBES = 4
         const val FLEET_PER_PROBE = 100
-        const val MAX_DELETE = 100
         val DELETE_GAP = 400.milliseconds
 
         /** Past the pause between two questions, so that one slow answer is not taken for a lost machine. */
--- a/src/test/kotlin/glenspool/controller/DutiesTest.kt
+++ b/src/test/kotlin/glenspool/controller/DutiesTest.kt
@@ -33,4 +33,19 @@
         duties.join()
         assertEquals(0, ended.get())
     }
+
+    @Test
+    fun `a duty that is to run once is over when it returns or fails`() {
+        val runs = AtomicInteger()
+        val ended = AtomicInteger()
+        val duties = Duties({ ended.incrementAndGet() }, Duration.ZERO)
+        duties.startOnce("returning") { runs.incrementAndGet() }
+        duties.startOnce("failing") {
+            runs.incrementAndGet()
+            throw IllegalStateException("as a broken duty would")
+        }
+        duties.join()
+        assertEquals(2, runs.get())
+        assertEquals(0, ended.get())
+    }
 }
