The server reads ahead only so far, and answers requests sent ahead one after the other

Found in a reading: a client that sent many requests without waiting could make the connection recurse once for each, and have all of them buffered. The rest of an answer to a client that has ended its side is sent before the connection is closed.

--- a/src/main/kotlin/glenspool/http/Connection.kt
+++ b/src/main/kotlin/glenspool/http/Connection.kt
@@ -29,6 +29,12 @@
     private var busy = false
     private var closing = false
 
+    /** A thread is handing a request over; when it is answered meanwhile, that thread looks for the next. */
+    private var serving = false
+
+    /** Nothing is read until the present request is answered. */
+    private var paused = false
+
     @Volatile
     private var inputEnded = false
     private var unsent: ByteBuffer? = null
@@ -49,21 +55,41 @@
         }
         if (read < 0) return endOfInput()
         input.flip()
-        val next = synchronized(this) {
+        synchronized(this) {
             if (closing) return
             if (!parser.started && !busy) deadline = clock() + MAX_REQUEST_TIME
             parser.add(input)
-            if (busy) null else nextRequest()
+            if (busy) return pauseIfAhead()
         }
-        next?.let(::hand)
+        serve()
+    }
+
+    /** A client may send ahead, but not without bound: what it sends next stays in the network. */
+    private fun pauseIfAhead() {
+        if (parser.size < MAX_AHEAD) return
+        paused = true
+        listen()
     }
 
     /** The client sends no more; it may still wait for an answer. */
     @Synchronized
     private fun endOfInput() {
-        if (!busy) return close()
+        if (!busy && unsent == null) return close()
         inputEnded = true
-        key.interestOps(0)
+        listen()
+    }
+
+    /** Hands over what is whole, one request after the other: one that is answered at once makes room for the next. */
+    private fun serve() {
+        while (true) {
+            val next = synchronized(this) {
+                // Another thread is at it, or the answer to the last one is still to come.
+                if (busy || closing || serving) return
+                nextRequest()?.also { serving = true } ?: return
+            }
+            hand(next)
+            synchronized(this) { serving = false }
+        }
     }
 
     /** The next whole request; from then on the connection is busy until it is answered. */
@@ -100,13 +126,13 @@
     private fun answer(to: ParsedRequest, response: Response) {
         val keepAlive = to.keepAlive && !inputEnded && !response.header("Connection").equals("close", true)
         val bytes = writer.write(response, keepAlive, withBody = to.request.method != Method.HEAD)
-        val next = synchronized(this) {
+        val ahead = synchronized(this) {
             busy = false
+            paused = false
             send(bytes, keepAlive)
-            // Clients here never send ahead; one that does is answered in order.
-            if (parser.started && !closing) nextRequest() else null
+            parser.started
         }
-        next?.let(::hand)
+        if (ahead) serve()
     }
 
     @Synchronized
@@ -125,12 +151,12 @@
             channel.write(bytes)
             if (bytes.hasRemaining()) {
                 deadline = clock() + MAX_RESPONSE_TIME
-                writeWhenReady()
+                listen()
                 return
             }
             unsent = null
             deadline = clock() + if (closing) LINGER else IDLE
-            key.interestOps(SelectionKey.OP_READ)
+            listen()
             // The client ends the connection once it has read the answer; closing at once could take that from it.
             when {
                 inputEnded -> close()
@@ -144,8 +170,13 @@
         }
     }
 
-    private fun writeWhenReady() {
-        key.interestOps(SelectionKey.OP_READ or SelectionKey.OP_WRITE)
+    /** Tells the listener's thread what this connection waits for by now. */
+    private fun listen() {
+        val read = if (paused || inputEnded) 0 else SelectionKey.OP_READ
+        val write = if (unsent == null) 0 else SelectionKey.OP_WRITE
+        val wanted = read or write
+        if (key.interestOps() == wanted) return
+        key.interestOps(wanted)
         key.selector().wakeup()
     }
 
@@ -168,6 +199,9 @@
         /** More than any handler takes, so that each says itself what is too long for it. */
         const val MAX_REQUEST = 512 * 1024
 
+        /** How much of further requests is read while one is served. */
+        const val MAX_AHEAD = 64 * 1024
+
         /** A worker's connection is idle between two reports: closing it would cost a new one for each report. */
         val IDLE: Duration = 120.seconds
         val MAX_REQUEST_TIME: Duration = 5.seconds
--- a/src/main/kotlin/glenspool/http/MessageReader.kt
+++ b/src/main/kotlin/glenspool/http/MessageReader.kt
@@ -62,6 +62,9 @@
     /** Whether part of a message has arrived. */
     val started: Boolean get() = length > 0
 
+    /** How many bytes are held. */
+    val size: Int get() = length
+
     fun add(bytes: ByteBuffer) {
         val more = bytes.remaining()
         if (length + more > buffer.size) buffer = buffer.copyOf(maxOf(buffer.size * 2, length + more))
--- a/src/main/kotlin/glenspool/http/RequestParser.kt
+++ b/src/main/kotlin/glenspool/http/RequestParser.kt
@@ -18,6 +18,9 @@
     /** Whether part of a request has arrived. */
     val started: Boolean get() = reader.started
 
+    /** How much has arrived that is no whole request yet. */
+    val size: Int get() = reader.size
+
     /** The client waits for word that it may send the body. */
     val awaitsContinue: Boolean get() = !continued && head?.fields?.get("Expect").equals("100-continue", ignoreCase = true)
 
--- a/src/test/kotlin/glenspool/http/ConnectionTest.kt
+++ b/src/test/kotlin/glenspool/http/ConnectionTest.kt
@@ -12,6 +12,7 @@
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.LinkedBlockingQueue
+import kotlin.concurrent.thread
 
 /** The server as a client on loopback sees it. */
 class ConnectionTest {
@@ -24,6 +25,7 @@
 
     private fun direct(request: Request): AsyncHandler? = when (request.uri.path) {
         "/later" -> AsyncHandler { _, respond -> waiting.add(respond) }
+        "/at-once" -> AsyncHandler { _, respond -> respond(Response(Status.OK)) }
         "/fails-at-once" -> AsyncHandler { _, _ -> throw IllegalStateException("as a broken handler would") }
         else -> null
     }
@@ -55,6 +57,14 @@
         assertEquals(200, read().status)
     }
 
+    @Test
+    fun `thousands of requests sent ahead are answered one after the other`() {
+        val one = "GET /at-once HTTP/1.1\r\n\r\n"
+        val sender = thread { send(one.repeat(AHEAD)) }
+        repeat(AHEAD) { assertEquals(200, read().status) }
+        sender.join()
+    }
+
     @Test
     fun `an answer may come later, from another thread, and others are served meanwhile`() {
         get("/later")
@@ -112,5 +122,6 @@
 
     private companion object {
         const val LARGE = 3_000_000
+        const val AHEAD = 5_000
     }
 }
