A report whose step failed in the core is answered without orders

Found in reading the change over: since reports hold no thread, one whose step threw was answered by nobody, and its connection stayed busy for good. It is answered like a report to a node without a leader now. A comment that spoke of the JDK's server is corrected.

--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -213,8 +213,13 @@
             return
         }
         var orders: List<Command> = emptyList()
-        step { orders = reported(pending.report) }
-        pending.complete(Orders(s.scheduler.token, orders))
+        try {
+            step { orders = reported(pending.report) }
+            pending.complete(Orders(s.scheduler.token, orders))
+        } finally {
+            // A step that failed leaves it unanswered, and nobody else would answer it any more.
+            pending.complete(null)
+        }
     }
 
     private fun begin(term: Term) {
--- a/src/test/kotlin/glenspool/http/SocketLimitTest.kt
+++ b/src/test/kotlin/glenspool/http/SocketLimitTest.kt
@@ -10,7 +10,7 @@
 import java.net.Socket
 
 /**
- * More connections than the socket limit allows. The JDK's server reads its bounds once in a process, so this runs in
+ * More connections than the socket limit allows. The limit is one for the whole process, so this runs in
  * one of its own.
  */
 class SocketLimitTest {
