Managed rollouts: levels of stored forms become active by evidence and can be left again

Need: which forms all controllers read was asked once by each process and never taken back; an upgrade that is left halfway, or a way back after it, rested on an operator's care alone. Package rollout decides purely: a registry of levels, evidence of each member's process, activation, health gates, a plan, deactivation in stages, operators' orders. Writes in a level's form carry the version of the level's record as a condition, so none arrives after the level was left. Found by the model: a replica that is loaded by two duties at once could take a key back to an older version.

--- a/src/main/kotlin/glenspool/api/UserApi.kt
+++ b/src/main/kotlin/glenspool/api/UserApi.kt
@@ -14,12 +14,15 @@
 import glenspool.peer.PeerPaths
 import glenspool.peer.RelayAnswer
 import glenspool.peer.RelayRequest
+import glenspool.rollout.FeaturePermits
+import glenspool.rollout.FeatureRegistry
 import glenspool.state.Keys
 import glenspool.state.Put
 import glenspool.state.Replica
 import glenspool.state.StateClient
 import glenspool.state.StateResult
 import glenspool.state.StoredJob
+import glenspool.state.conditions
 import glenspool.wire.Cbor
 import glenspool.wire.Fields
 import glenspool.wire.FinalWire
@@ -50,7 +53,7 @@
     private val replica: Replica,
     private val peers: PeerClient,
     private val isolated: () -> Boolean,
-    private val membersNew: () -> Boolean,
+    private val features: FeaturePermits,
     /** Whether a user may be told of a stored cancellation by now: the other controllers have heard of it, or can't hear. */
     private val confirm: (String) -> Boolean,
     private val types: () -> List<MachineType>?,
@@ -183,6 +186,8 @@
         val fault = tooLong(record) ?: never(spec)
         if (fault != null) return refuse(spec.id, fault)
         if (needs.isEmpty()) return store(record, null)
+        // A job that waits is stored in a form that not every controller may read yet.
+        if (features.permit(FeatureRegistry.SEALED_RECORDS) == null) return refuse(spec.id, UNDECIDED)
         if (!replica.sync(SYNC_TIMEOUT)) return null
         return when (val v = awaited.nameable(spec.id, needs)) {
             is Awaited.Nameable -> store(record, v.cutBy)
@@ -206,11 +211,15 @@
     private fun store(record: JobRecord, cutBy: String?): Response? {
         val id = record.spec.id
         val patience = Patience()
-        val limit = if (record.needs.isEmpty() && !membersNew()) settings.stateLimits.now.valueBytes else limits.valueBytes
+        val limit = if (record.needs.isEmpty() && !features.inUse(FeatureRegistry.SEALED_RECORDS)) settings.stateLimits.now.valueBytes else limits.valueBytes
         var inPieces = Cbor.jsonBytes(RecordWire.encode(record)) > limit
         while (true) {
             val conditions = linkedMapOf(Keys.job(id) to 0L, Keys.final(id) to 0L)
             var whole = record
+            if (inPieces || record.needs.isNotEmpty()) {
+                val permit = features.permit(FeatureRegistry.SEALED_RECORDS) ?: return refuse(id, UNDECIDED)
+                conditions.putAll(permit.conditions())
+            }
             if (inPieces) {
                 val stored = storePieces(record, patience) ?: return null
                 if (stored.response != null) return stored.response
@@ -220,7 +229,12 @@
             // Both keys must be absent: a retry, at any node and however late, then changes nothing.
             when (val r = state.transact(conditions, listOf(Put(Keys.job(id), RecordWire.encode(whole))))) {
                 is StateResult.Ok -> return cbor(Status.CREATED, JobWire.status(id, if (cutBy == null) Stage.QUEUED else Stage.CANCELLED, cutBy = cutBy))
-                is StateResult.Conflict -> return if (r.keys.any { it.startsWith(Keys.PIECE) }) tryLater() else answer(look(id), id)
+                is StateResult.Conflict -> return when {
+                    r.keys.any { it.startsWith(Keys.PIECE) } -> tryLater()
+                    // The level was left, or this node has not heard yet that it is active.
+                    Keys.LEVEL in r.keys -> refuse(id, UNDECIDED)
+                    else -> answer(look(id), id)
+                }
                 is StateResult.Refused -> {
                     if (r.status == 400) {
                         // The limit for values was lowered: shorter values are the way out, but only once.
@@ -249,12 +263,13 @@
         for (puts in StoredJob.pieces(record, limits.valueBytes).chunked(limits.txnOps)) {
             while (true) {
                 // A late copy of this must not change the pieces of a job that was accepted since.
-                val r = state.transact(mapOf(Keys.job(id) to 0L, Keys.final(id) to 0L), puts)
+                val permit = features.permit(FeatureRegistry.SEALED_RECORDS) ?: return Pieces(versions, refuse(id, UNDECIDED))
+                val r = state.transact(permit.conditions() + mapOf(Keys.job(id) to 0L, Keys.final(id) to 0L), puts)
                 if (r is StateResult.Ok) {
                     puts.forEach { versions[it.key] = r.value }
                     break
                 }
-                if (r is StateResult.Conflict) return Pieces(versions, answer(look(id), id))
+                if (r is StateResult.Conflict) return Pieces(versions, if (Keys.LEVEL in r.keys) refuse(id, UNDECIDED) else answer(look(id), id))
                 if (r !is StateResult.Refused || r.status != 429) return null
                 patience.wait()?.let { return Pieces(versions, it) }
             }
@@ -277,7 +292,8 @@
     private fun tooLong(r: JobRecord): Fault? {
         if (r.spec.recordBytes > settings.stateLimits.now.valueBytes / 2) return Fault(Status.BAD_REQUEST, "the job's description is too long")
         if (r.needs.size * BYTES_PER_NEED <= limits.valueBytes / 2) return null
-        val most = limits.txnOps * CONDITIONS_PER_OP - 2
+        val guards = features.permit(FeatureRegistry.SEALED_RECORDS)?.conditions().orEmpty().size
+        val most = limits.txnOps * CONDITIONS_PER_OP - 2 - guards
         return if (RecordWire.encodePieces(r, limits.valueBytes).size > most) Fault(Status.BAD_REQUEST, "awaits: more jobs are named than can be kept") else null
     }
 
--- a/src/main/kotlin/glenspool/api/WorkerApi.kt
+++ b/src/main/kotlin/glenspool/api/WorkerApi.kt
@@ -27,6 +27,10 @@
 
     private val reports = AtomicLong()
 
+    /** Told of each report's machine and session, for as long as somebody counts them. */
+    @Volatile
+    var sessionSeen: ((machine: String, session: Long) -> Unit)? = null
+
     /** Reports that came to this node so far. */
     fun answered(): Long = reports.get()
 
@@ -40,6 +44,7 @@
             log.warn("report not understood: {}", e.message)
             return respond(cbor(Status.BAD_REQUEST, mapOf("error" to (e.message ?: "malformed"))))
         }
+        sessionSeen?.invoke(report.machine, report.session)
         loop.report(report) { orders -> respond(if (orders != null) answer(report, orders.token, orders.commands) else withoutOrders(report)) }
     }
 
@@ -47,6 +52,8 @@
     private fun withoutOrders(report: Report): Response {
         val leader = node.leaderToName()
         if (leader != null && keeper.sendsOn(report.machine)) return cbor(MISDIRECTED, WorkerWire.redirect(leader))
+        // A build that may not understand what is stored can't say which work was cancelled.
+        if (node.fenced()) return cbor(Status.SERVICE_UNAVAILABLE, emptyMap())
         if (!keeper.keeps(report.machine, node.cancellations.complete(), node.isolated())) return cbor(Status.SERVICE_UNAVAILABLE, emptyMap())
         // Nobody is known to lead, or not to be sent to now. Answering with the worker's own token starts nothing and keeps its tasks alive.
         return answer(report, report.token, stopsOfCancelled(report))
--- a/src/main/kotlin/glenspool/cli/Main.kt
+++ b/src/main/kotlin/glenspool/cli/Main.kt
@@ -1,6 +1,7 @@
 package glenspool.cli
 
 import glenspool.config.OperatorScript
+import glenspool.config.RolloutSettingsReader
 import glenspool.config.Settings
 import glenspool.config.SettingsError
 import glenspool.config.SettingsReader
@@ -16,11 +17,19 @@
 
 private const val USAGE = """usage: glenspool COMMAND [OPTIONS]
 
-  serve --config FILE [--script FILE]          run a controller until it is killed
-  check-config [--script FILE] FILE            check a settings file, and a tuning script
+  serve --config FILE [--script FILE] [--rollout FILE]
+                                               run a controller until it is killed
+  check-config [--script FILE] [--rollout FILE] FILE
+                                               check a settings file, a tuning script, a rollout policy
   job submit --node ADDR FILE                  submit a job described in a JSON file
   job show --node ADDR ID                      show a job
   job withdraw --node ADDR ID                  cancel a job
+  rollout status|plan --node ADDR [--json]     how far an upgrade of the controllers is, and what comes next
+  rollout watch --node ADDR                    the same, live
+  rollout hold|resume --node ADDR              let no level become active; take that back
+  rollout activate|deactivate --node ADDR LEVEL
+                                               let a level become active; leave the active one
+  rollout exclude|include --node ADDR MEMBER   go on without a controller's evidence; ask for it again
   explain LOG                                  where tasks' time went, from a log at level debug
   --version, --help
 
@@ -57,8 +66,9 @@
     when (args.firstOrNull()) {
         null -> throw UsageError("a command is needed")
         "--help", "-h" -> println(USAGE)
-        "--version" -> println("glenspool ${Tuning::class.java.`package`.implementationVersion ?: "development"}")
+        "--version" -> println("glenspool ${version()}")
         "serve" -> return serve(args.drop(1))
+        "rollout" -> return RolloutCommand.run(args.drop(1))
         "job" -> return JobCommand.run(args.drop(1))
         "check-config" -> return checkConfig(args.drop(1))
         "explain" -> return Explain.run(args.drop(1))
@@ -68,6 +78,8 @@
     return 0
 }
 
+private fun version(): String = Tuning::class.java.`package`.implementationVersion ?: "development"
+
 private fun serve(args: List<String>): Int {
     val node = begin(args)
     Runtime.getRuntime().addShutdownHook(closing(node))
@@ -81,11 +93,13 @@
 internal fun begin(args: List<String>): Node {
     val options = Options().addOption(Option.builder().longOpt("config").hasArg().required().build())
         .addOption(Option.builder().longOpt("script").hasArg().build())
+        .addOption(Option.builder().longOpt("rollout").hasArg().build())
     val line = DefaultParser().parse(options, args.toTypedArray())
     if (line.argList.isNotEmpty()) throw UsageError("unexpected argument '${line.argList.first()}'")
     val settings = SettingsReader().read(File(line.getOptionValue("config")))
     HttpListener.configure(settings.maxSockets)
-    val node = Node(settings, tuning(settings, line.getOptionValue("script"))) { Runtime.getRuntime().halt(UNFIT) }
+    val policy = line.getOptionValue("rollout")?.let { RolloutSettingsReader().read(File(it)) }
+    val node = Node(settings, tuning(settings, line.getOptionValue("script")), policy, build = version()) { Runtime.getRuntime().halt(UNFIT) }
     node.start()
     return node
 }
@@ -94,8 +108,10 @@
 private const val UNFIT = 70
 
 private fun checkConfig(args: List<String>): Int {
-    val line = DefaultParser().parse(Options().addOption(Option.builder().longOpt("script").hasArg().build()), args.toTypedArray())
+    val options = Options().addOption(Option.builder().longOpt("script").hasArg().build()).addOption(Option.builder().longOpt("rollout").hasArg().build())
+    val line = DefaultParser().parse(options, args.toTypedArray())
     val file = line.argList.singleOrNull() ?: throw UsageError("check-config needs one FILE")
+    line.getOptionValue("rollout")?.let { RolloutSettingsReader().read(File(it)) }
     tuning(SettingsReader().read(File(file)), line.getOptionValue("script"))
     println("$file: good")
     return 0
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -27,6 +27,8 @@
 import glenspool.core.model.TaskState
 import glenspool.http.CallPool
 import glenspool.logging.loggerOf
+import glenspool.rollout.FeaturePermits
+import glenspool.rollout.FeatureRegistry
 import glenspool.state.Keys
 import glenspool.state.Put
 import glenspool.state.Replica
@@ -59,8 +61,7 @@
     private val workers: WorkerClient,
     private val writer: StateWriter,
     private val knownTypes: () -> List<MachineType>?,
-    /** Whether every controller reads records whose parts are stored apart. */
-    private val membersNew: () -> Boolean,
+    private val features: FeaturePermits,
     /** How long a report may have waited before this node read it. */
     private val intakeLag: () -> Duration,
 ) : AutoCloseable {
@@ -150,11 +151,16 @@
         }
         step {
             behind(maxOf(pendingReports.backlog(), intakeLag()))
-            membersKnown(membersNew())
+            splittingKnown()
             tick()
         }
     }
 
+    private fun Scheduler.splittingKnown() {
+        membersKnown(features.inUse(FeatureRegistry.SEALED_RECORDS))
+        splittingForbidden(features.permit(FeatureRegistry.SEALED_RECORDS) == null)
+    }
+
     private fun endOverdue() {
         val s = session ?: return
         for (o in s.scheduler.overdue(clock.elapsedNow())) {
@@ -228,11 +234,13 @@
         session = s
         pausedSince = null
         step {
-            membersKnown(membersNew())
+            membersKnown(features.inUse(FeatureRegistry.SEALED_RECORDS))
             knownTypes()?.let { typesKnown(it) }
             imagesRemembered(replica.under(Keys.IMAGES).map(::rememberedImages).fold(emptyMap()) { x, y -> x + y })
             replica.under(Keys.JOB).forEach { applyChange(StateWire.Change(it.key, it.value, it.version)) }
             replica.under(Keys.CANCEL).forEach { applyChange(StateWire.Change(it.key, it.value, it.version)) }
+            // Only now are the jobs known whose records an earlier leader has split.
+            splittingKnown()
         }
         intake.begun = term
         log.info("leading token={} jobs={}", term.token, scheduler.jobs.size)
--- a/src/main/kotlin/glenspool/controller/Leadership.kt
+++ b/src/main/kotlin/glenspool/controller/Leadership.kt
@@ -30,6 +30,8 @@
     private val replica: Replica,
     private val elected: (Term) -> Unit,
     private val deposed: () -> Unit,
+    /** Whether this process may lead at all. */
+    private val mayLead: () -> Boolean = { true },
 ) {
     @Volatile
     private var term: Term? = null
@@ -99,7 +101,7 @@
     private fun tryElect(): Long {
         val age = replica.age()
         if (age == null || age > FRESH) return IDLE.inWholeMilliseconds
-        if (standBackUntil?.hasNotPassedNow() == true) return IDLE.inWholeMilliseconds
+        if (standBackUntil?.hasNotPassedNow() == true || !mayLead()) return IDLE.inWholeMilliseconds
         val recorded = replica.get(Keys.LEAD)
         // Our own record from an earlier process: that process has ended, so its place is free. It is never
         // taken for ours, since it is replaced under its exact version.
@@ -135,6 +137,11 @@
             }
         }
         if (recordedBoot() != boot) return 0
+        if (!mayLead()) {
+            // A level was activated while this process was being elected.
+            client.endLease(lease)
+            return IDLE.inWholeMilliseconds
+        }
         val t = Term(token, r.value, lease)
         validUntil = sent + VALID
         term = t
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -2,8 +2,11 @@
 
 import glenspool.api.UserApi
 import glenspool.api.WorkerApi
+import glenspool.api.fenceFilter
+import glenspool.api.refusalFilter
 import glenspool.cloud.CloudClient
 import glenspool.config.Settings
+import glenspool.core.StoreOutcome
 import glenspool.core.Tuning
 import glenspool.core.cluster.Cancellations
 import glenspool.http.AsyncHandler
@@ -12,12 +15,25 @@
 import glenspool.http.hostPort
 import glenspool.logging.loggerOf
 import glenspool.peer.PeerClient
+import glenspool.peer.PeerPaths
 import glenspool.peer.PeerServer
 import glenspool.peer.PeerStatus
+import glenspool.peer.RelayAnswer
+import glenspool.peer.RelayRequest
+import glenspool.peer.RolloutReply
+import glenspool.peer.RolloutRequest
+import glenspool.peer.RolloutServer
+import glenspool.rollout.FeaturePermits
+import glenspool.rollout.FeatureRegistry
+import glenspool.rollout.RolloutPolicy
+import glenspool.rollout.UnmanagedFeatures
 import glenspool.state.Replica
 import glenspool.state.StateClient
 import glenspool.worker.WorkerClient
+import org.http4k.core.HttpHandler
 import org.http4k.core.Request
+import org.http4k.core.Status
+import org.http4k.core.then
 import java.util.concurrent.ThreadLocalRandom
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -25,7 +41,15 @@
 import kotlin.time.TimeSource
 
 /** One controller: all adapters and duties, wired together. */
-class Node(private val settings: Settings, tuning: Tuning, private val fatal: () -> Unit) : AutoCloseable {
+class Node(
+    private val settings: Settings,
+    tuning: Tuning,
+    /** Null: levels of stored forms are not managed. */
+    rolloutPolicy: RolloutPolicy? = null,
+    registry: FeatureRegistry = FeatureRegistry.CURRENT,
+    build: String = "development",
+    private val fatal: () -> Unit,
+) : AutoCloseable {
     private val http = HttpCaller(800.milliseconds)
     private val state = StateClient(settings.state.hostPort(), http)
     private val cloud = CloudClient(settings.cloud.hostPort(), http, settings.cloudLimits.rps)
@@ -46,10 +70,16 @@
         exchange.stored(changes)
         loop.post(Event.Changes(changes))
     }
-    val leadership = Leadership(settings.node, boot, state, replica, { loop.post(Event.Elected(it)) }, { loop.post(Event.Deposed) })
-    private val writer = StateWriter(settings.stateLimits.safe, state, replica, leadership) { outcome, term -> loop.post(Event.Stored(outcome, term)) }
+    private val health = HealthCounters()
+    val leadership: Leadership = Leadership(settings.node, boot, state, replica, ::elected, { loop.post(Event.Deposed) }) { !fenced() }
+    private val rollout = rolloutPolicy?.let { policy ->
+        val identity = ProcessIdentity(settings.node, boot, registry.of(build))
+        RolloutManager(identity, settings.members.map { it.name }, registry, policy, state, replica, leadership, peers, health, ::serving, ::uptime, fatal)
+    }
+    private val features: FeaturePermits = rollout?.gate ?: UnmanagedFeatures { membersNew }
+    private val writer = StateWriter(settings.stateLimits.safe, state, replica, leadership, features, ::stored)
     private val cloudWatch = CloudWatch(settings.cloudLimits.listLag, cloud, state, replica, leadership) { loop.post(it) }
-    private val loop: CoreLoop = CoreLoop(settings, tuning, replica, leadership, state, cloud, workers, writer, cloudWatch::knownTypes, { membersNew }, ::intakeLag)
+    private val loop: CoreLoop = CoreLoop(settings, tuning, replica, leadership, state, cloud, workers, writer, cloudWatch::knownTypes, features, ::intakeLag)
 
     @Volatile
     private var peerStatuses: List<PeerStatus> = emptyList()
@@ -63,10 +93,14 @@
     @Volatile
     private var membersNew = settings.members.isEmpty()
     private var membersAskedAt = TimeSource.Monotonic.markNow() - MEMBERS_LOOK
-    private val userApi = UserApi(settings, state, replica, peers, ::isolated, { membersNew }, exchange::confirm, cloudWatch::knownTypes)
+    private val userApi = UserApi(settings, state, replica, peers, ::isolated, features, exchange::confirm, cloudWatch::knownTypes)
+
+    /** As users meet it: behind the fence, and with refusals counted, where levels are managed. */
+    private val usersDoor: HttpHandler =
+        if (rollout == null) userApi else refusalFilter(health::refused).then(fenceFilter(rollout.gate::fence)).then(userApi)
     private val workerApi = WorkerApi(settings, this, loop)
     private val overdue = OverdueWork(settings.workers.cancel, cancellations, replica, cloud, workers, { leadership.current() != null || leaderToName() != null }, ::wallClock)
-    private val readiness = AsyncHandler { request, respond -> respond(userApi(request)) }
+    private val readiness = AsyncHandler { request, respond -> respond(usersDoor(request)) }
 
     @Volatile
     private var api: HttpListener? = null
@@ -74,9 +108,8 @@
 
     fun start() {
         // Requests are taken as soon as the port is open; until the state is read they are told to come back.
-        api = HttpListener(settings.apiAddr, "api", minOf(MAX_API_THREADS, settings.maxSockets / 3), ::withoutWaiting, fatal, userApi)
-        val peerServer = PeerServer({ status() }, exchange::answer, userApi::local)
-        internal = HttpListener(settings.internalAddr, "peer", PEER_THREADS, { null }, fatal) { r -> if (r.uri.path == WarmUp.PATH) WarmUp.answer(r) else peerServer(r) }
+        api = HttpListener(settings.apiAddr, "api", minOf(MAX_API_THREADS, settings.maxSockets / 3), ::withoutWaiting, fatal, usersDoor)
+        internal = HttpListener(settings.internalAddr, "peer", PEER_THREADS, { null }, fatal, peersDoor())
         duties.start("state-watch") { replica.follow() }
         duties.start("state-sync") { replica.serveSyncs() }
         duties.start("leadership") { leadership.run() }
@@ -89,9 +122,47 @@
         duties.start("late-reports") { loop.expireReports() }
         duties.start("overdue") { overdue.run() }
         duties.startOnce("warm-up") { WarmUp(loop.config, settings.internalAddr.hostPort(), served = workerApi::answered) { leadership.current() != null }.run() }
+        rollout?.let { manager ->
+            workerApi.sessionSeen = health::sessionSeen
+            duties.start("rollout") { manager.run() }
+        }
         log.info("started node={} zone={} api={}", settings.node, settings.zone, settings.apiAddr.hostPort())
     }
 
+    private fun peersDoor(): HttpHandler {
+        val peerServer = PeerServer({ status() }, exchange::answer, ::servePeer)
+        val rolloutServer = rollout?.let { RolloutServer(it::answer) }
+        return { request ->
+            when {
+                request.uri.path == WarmUp.PATH -> WarmUp.answer(request)
+                rolloutServer != null && request.uri.path == PeerPaths.ROLLOUT -> rolloutServer(request)
+                else -> peerServer(request)
+            }
+        }
+    }
+
+    /** A user's request that another node passed on; a fenced process is as good as one without the state service. */
+    private fun servePeer(request: RelayRequest): RelayAnswer =
+        if (fenced()) RelayAnswer(Status.SERVICE_UNAVAILABLE.code, ByteArray(0), null) else userApi.local(request)
+
+    private fun elected(term: Term) {
+        health.tookOver()
+        loop.post(Event.Elected(term))
+    }
+
+    private fun stored(outcome: StoreOutcome, term: Term) {
+        if (outcome is StoreOutcome.Refused) health.writeRejected()
+        loop.post(Event.Stored(outcome, term))
+    }
+
+    /** What an operator is answered who asks this node. */
+    fun rolloutAnswer(request: RolloutRequest): RolloutReply = checkNotNull(rollout) { "levels are not managed" }.answer(request)
+
+    /** Whether this build can't read the active level, so that the process must neither lead, accept nor confirm anything. */
+    fun fenced(): Boolean = rollout?.gate?.fence() != null
+
+    private fun serving(): Boolean = fresh() && !isolated()
+
     private fun intakeLag(): Duration = api?.lag() ?: Duration.ZERO
 
     /** What is answered by the listener's own thread, or by the core's: reports and probes, which must not wait behind users. */
@@ -125,7 +196,7 @@
     /** Whether this node's copy of the state is recent enough to say who leads. */
     fun fresh(): Boolean = replica.age().let { it != null && it < FRESH }
 
-    private fun status() = PeerStatus(settings.node, leadership.current() != null, leadership.recordedLeader(), fresh(), PeerStatus.SEALED)
+    private fun status() = PeerStatus(settings.node, leadership.current() != null, leadership.recordedLeader(), fresh(), PeerStatus.SEALED, rollout?.ownLevels())
 
     /**
      * Whether this node has lost the state service and every other controller, though users and workers may still
@@ -143,7 +214,7 @@
             } else {
                 peerStatuses = emptyList()
                 peersLost = false
-                if (!membersNew && membersAskedAt.elapsedNow() >= MEMBERS_LOOK) askMembers()
+                if (rollout == null && !membersNew && membersAskedAt.elapsedNow() >= MEMBERS_LOOK) askMembers()
             }
             Thread.sleep(PEER_LOOK.inWholeMilliseconds)
         }
--- a/src/main/kotlin/glenspool/controller/StateWriter.kt
+++ b/src/main/kotlin/glenspool/controller/StateWriter.kt
@@ -5,11 +5,15 @@
 import glenspool.core.Store
 import glenspool.core.StoreOutcome
 import glenspool.logging.loggerOf
+import glenspool.rollout.FeaturePermits
+import glenspool.rollout.FeatureRegistry
 import glenspool.state.Keys
 import glenspool.state.Replica
 import glenspool.state.StateClient
 import glenspool.state.StateResult
 import glenspool.state.StoredJob
+import glenspool.state.conditions
+import glenspool.wire.RecordWire
 import java.util.concurrent.ArrayBlockingQueue
 import kotlin.time.Duration.Companion.seconds
 
@@ -19,6 +23,7 @@
     private val state: StateClient,
     private val replica: Replica,
     private val leadership: Leadership,
+    private val features: FeaturePermits,
     private val ended: (StoreOutcome, Term) -> Unit,
 ) {
     private class Write(val term: Term, val store: Store)
@@ -38,7 +43,8 @@
     }
 
     private fun transact(term: Term, store: Store): StoreOutcome {
-        val (conditions, puts, removes) = transactionOf(term.mark, store)
+        val guards = guards(store) ?: return StoreOutcome.Refused(emptySet())
+        val (conditions, puts, removes) = transactionOf(term.mark, store, guards)
         val r = state.transact(conditions, puts, removes)
         if (log.isDebugEnabled) log.debug("store {} -> {}", store.writes.map { it.id }, r)
         return when (r) {
@@ -54,6 +60,18 @@
         }
     }
 
+    /**
+     * What writes in a sealed form are conditioned on besides. Without a permit only records that are stored so already may be
+     * rewritten in it; null if others are among them, which the core decided on while it was allowed.
+     */
+    private fun guards(store: Store): Map<String, Long>? {
+        val sealed = store.writes.filterIsInstance<SaveJob>().filter { RecordWire.needsSealing(it.record) }
+        if (sealed.isEmpty()) return emptyMap()
+        features.permit(FeatureRegistry.SEALED_RECORDS)?.let { return it.conditions() }
+        val allSealedBefore = sealed.all { save -> replica.get(Keys.job(save.id))?.let { RecordWire.isSealed(it.value) } == true }
+        return if (allSealedBefore) emptyMap() else null
+    }
+
     private fun conflict(r: StateResult.Conflict): StoreOutcome {
         if (Keys.LEAD in r.keys) {
             leadership.stepDown("a write was refused")
@@ -70,10 +88,11 @@
      */
     private fun tooLarge(term: Term, store: Store): StoreOutcome {
         val save = store.writes.singleOrNull() as? SaveJob
-        if (save == null || save.record.pieces > 0) return StoreOutcome.TooLarge()
+        val permit = features.permit(FeatureRegistry.SEALED_RECORDS)
+        if (save == null || save.record.pieces > 0 || permit == null) return StoreOutcome.TooLarge()
         val pieces = StoredJob.pieces(save.record, limits.valueBytes)
         for (puts in pieces.chunked(limits.txnOps)) {
-            if (state.transact(mapOf(Keys.LEAD to term.mark), puts) !is StateResult.Ok) return StoreOutcome.TooLarge()
+            if (state.transact(permit.conditions() + (Keys.LEAD to term.mark), puts) !is StateResult.Ok) return StoreOutcome.TooLarge()
         }
         return StoreOutcome.TooLarge(mapOf(save.id to pieces.size))
     }
--- a/src/main/kotlin/glenspool/controller/Transaction.kt
+++ b/src/main/kotlin/glenspool/controller/Transaction.kt
@@ -11,11 +11,12 @@
 /** A transaction in the state service's terms. */
 data class Transaction(val conditions: Map<String, Long>, val puts: List<Put>, val removes: List<String>)
 
-/** Turns the core's writes into one transaction that holds only under the leadership record's version [mark]. */
-fun transactionOf(mark: Long, store: Store): Transaction {
+/** Turns the core's writes into one transaction that holds only under the leadership record's version [mark] and under [guards]. */
+fun transactionOf(mark: Long, store: Store, guards: Map<String, Long> = emptyMap()): Transaction {
     val conditions = LinkedHashMap<String, Long>()
     // A deposed leader's writes fail on this however late they arrive.
     conditions[Keys.LEAD] = mark
+    conditions.putAll(guards)
     val puts = ArrayList<Put>()
     val removes = ArrayList<String>()
     for (w in store.writes) {
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -10,6 +10,7 @@
 import glenspool.core.lifecycle.Chains
 import glenspool.core.lifecycle.Job
 import glenspool.core.lifecycle.Placement
+import glenspool.core.lifecycle.RecordMerging
 import glenspool.core.lifecycle.Shelves
 import glenspool.core.lifecycle.Step
 import glenspool.core.lifecycle.StopReason
@@ -77,8 +78,11 @@
      * Whether places may be stored apart from their job's record: only once no controller is of the version that reads
      * records alone. It would take tasks whose places it does not see for waiting ones.
      */
-    var mayShelve = false
-        private set
+    val mayShelve: Boolean get() = splittingWanted && !splittingForbidden
+    private var splittingWanted = false
+
+    /** The level of stored forms that allows it is not active, or is being left. */
+    private var splittingForbidden = false
     val machines: Map<String, Machine> get() = fleet
     private val fleet = LinkedHashMap<String, Machine>()
     override var types: Map<String, MachineType> = emptyMap()
@@ -102,6 +106,7 @@
     private val storing = Storing(this)
     val chains = Chains(this)
     private val tending = Tending(this)
+    private val merging = RecordMerging(this)
     private val capacity = Capacity(this)
     private val rooms = RoomMaker(this)
     private var raising = false
@@ -210,12 +215,19 @@
 
     /** Whether every controller was found to read places that are stored apart. */
     fun membersKnown(allNew: Boolean) {
-        mayShelve = mayShelve || allNew
+        splittingWanted = splittingWanted || allNew
+    }
+
+    /** Whether records must not be split, whatever else is known. What is split already is brought back, as far as it fits. */
+    fun splittingForbidden(forbidden: Boolean) {
+        if (forbidden == splittingForbidden) return
+        splittingForbidden = forbidden
+        if (forbidden) merging.begin() else merging.end()
     }
 
     /** The state service refused a value for its size: its limits are lowered only when every controller is new. */
     fun limitsLowered() {
-        mayShelve = true
+        splittingWanted = true
     }
 
     /** What an earlier leader knew of the machines' caches; taken over as each machine is heard. */
@@ -388,6 +400,7 @@
         capacity.tick(now)
         chains.ask(now)
         images.save(now)
+        merging.advance()
     }
 
     // ---- what the parts share ----
--- a/src/main/kotlin/glenspool/core/lifecycle/Job.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Job.kt
@@ -143,6 +143,12 @@
         if (!done[p.task]) placedOpen++
     }
 
+    /** Whether places lie apart from the record. */
+    val hasPlacesApart: Boolean get() = placed.values.any { it.shelf != Shelves.RECORD }
+
+    /** Brings such places back into the record as far as it has room. Whether any was moved. */
+    fun mergePlaces(): Boolean = shelves.mergeIntoRecord(placed.values)
+
     fun unplace(task: Int) {
         val old = placed.remove(task) ?: return
         shelves.remove(old)
--- a/src/main/kotlin/glenspool/core/lifecycle/Shelves.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Shelves.kt
@@ -72,6 +72,18 @@
         }
     }
 
+    /** Moves places back into the record as far as it has room. Whether any was moved. */
+    fun mergeIntoRecord(places: Collection<Placement>): Boolean {
+        var moved = false
+        for (p in places) {
+            if (p.shelf == RECORD || cost(inRecord, p) > recordLeft) continue
+            remove(p)
+            put(p, RECORD)
+            moved = true
+        }
+        return moved
+    }
+
     /** Changed shelves that are not known to be stored, [most] at the most. */
     fun toStore(most: Int): Map<Int, Long> = dirty.entries.take(most).associate { it.key to it.value }
 
--- a/src/main/kotlin/glenspool/peer/PeerServer.kt
+++ b/src/main/kotlin/glenspool/peer/PeerServer.kt
@@ -18,26 +18,25 @@
         request.uri.path == PeerPaths.STATUS && request.method == Method.GET -> ok(PeerWire.encode(status()))
         (request.uri.path == PeerPaths.RELAY || request.uri.path == PeerPaths.RELAY_CHAINED) && request.method == Method.POST -> relay(request)
         request.uri.path == PeerPaths.CANCELLATIONS && request.method == Method.POST ->
-            answered(request, PeerWire::cancellations) { m -> cancellations(m)?.let { PeerWire.encode(it) } }
+            answerDecoded(request, PeerWire::cancellations) { m -> cancellations(m)?.let { PeerWire.encode(it) } }
         else -> Response(Status.NOT_FOUND)
     }
 
-    private fun relay(request: Request): Response = answered(request, PeerWire::relayRequest) { PeerWire.encode(serve(it)) }
+    private fun relay(request: Request): Response = answerDecoded(request, PeerWire::relayRequest) { PeerWire.encode(serve(it)) }
+}
 
-    private fun <T> answered(request: Request, read: (ByteArray) -> T, answer: (T) -> ByteArray?): Response {
-        val m = try {
-            read(request.body.stream.readNBytes(MAX_BYTES))
-        } catch (e: kotlinx.serialization.SerializationException) {
-            log.warn("{} not understood: {}", request.uri.path, e.toString())
-            return Response(Status.BAD_REQUEST)
-        }
-        return answer(m)?.let(::ok) ?: Response(Status.BAD_REQUEST)
+/** Reads a message between controllers and answers it; what can't be read, or is answered with null, is a bad request. */
+internal fun <T> answerDecoded(request: Request, read: (ByteArray) -> T, answer: (T) -> ByteArray?): Response {
+    val message = try {
+        read(request.body.stream.readNBytes(MAX_BYTES))
+    } catch (e: kotlinx.serialization.SerializationException) {
+        log.warn("{} not understood: {}", request.uri.path, e.toString())
+        return Response(Status.BAD_REQUEST)
     }
+    return answer(message)?.let(::ok) ?: Response(Status.BAD_REQUEST)
+}
 
-    private fun ok(bytes: ByteArray) = Response(Status.OK).body(bytes.inputStream(), bytes.size.toLong())
+private fun ok(bytes: ByteArray) = Response(Status.OK).body(bytes.inputStream(), bytes.size.toLong())
 
-    companion object {
-        private val log = loggerOf(PeerServer::class.java)
-        private const val MAX_BYTES = 256 * 1024
-    }
-}
+private val log = loggerOf(PeerServer::class.java)
+private const val MAX_BYTES = 256 * 1024
--- a/src/main/kotlin/glenspool/peer/Peers.kt
+++ b/src/main/kotlin/glenspool/peer/Peers.kt
@@ -22,6 +22,8 @@
     val fresh: Boolean,
     /** Which stored forms it reads; versions before pipelines say nothing. */
     val reads: Int = 0,
+    /** Which levels its build knows, and who it is; only where levels are managed. */
+    val levels: PeerLevels? = null,
 ) {
     companion object {
         /** Records whose description or places are stored apart. */
@@ -29,6 +31,20 @@
     }
 }
 
+/** What a controller shows of its build as evidence for a rollout. [boot] differs between any two processes. */
+@Serializable
+data class PeerLevels(
+    val boot: String,
+    val build: String,
+    val lowest: Int,
+    val highest: Int,
+    val ready: Boolean,
+    val takeOvers: Long,
+    val leasesExpired: Long,
+    val refusals: Long,
+    val rejectedWrites: Long,
+)
+
 /** A user's request, passed on by a node that has lost the state service alone. */
 @Serializable
 data class RelayRequest(val method: String, val path: String, val body: ByteArray)
@@ -65,6 +81,9 @@
 
     /** What each knows of cancellations. A version that does not know it neither hears nor tells. */
     const val CANCELLATIONS = "/peer/cancellations"
+
+    /** Operators' questions and orders about the rollout; 404 where levels are not managed. */
+    const val ROLLOUT = "/peer/rollout"
 }
 
 @OptIn(ExperimentalSerializationApi::class)
@@ -81,6 +100,14 @@
 
     fun cancellations(b: ByteArray): CancelMessage = cbor.decodeFromByteArray(b)
 
+    fun encode(r: RolloutRequest): ByteArray = cbor.encodeToByteArray(r)
+
+    fun encode(r: RolloutReply): ByteArray = cbor.encodeToByteArray(r)
+
+    fun rolloutRequest(b: ByteArray): RolloutRequest = cbor.decodeFromByteArray(b)
+
+    fun rolloutReply(b: ByteArray): RolloutReply = cbor.decodeFromByteArray(b)
+
     fun status(b: ByteArray): PeerStatus = cbor.decodeFromByteArray(b)
 
     fun relayRequest(b: ByteArray): RelayRequest = cbor.decodeFromByteArray(b)
--- a/src/main/kotlin/glenspool/state/Keys.kt
+++ b/src/main/kotlin/glenspool/state/Keys.kt
@@ -23,6 +23,17 @@
     const val SHELF = "g/p/"
     const val FINAL = "f/"
 
+    /**
+     * The rollout's records. All other live keys sort before this prefix, and that must stay so: a replica that is loaded page
+     * by page reads the active level last, so it never holds a record of a level without the record of that level.
+     */
+    const val ROLLOUT = "g/version/"
+
+    /** The active level. */
+    const val LEVEL = "g/version/level"
+    const val ROLLOUT_ORDERS = "g/version/orders"
+    const val ROLLOUT_STATE = "g/version/state"
+
     fun job(id: String) = JOB + id
 
     fun cancel(id: String) = CANCEL + id
--- a/src/main/kotlin/glenspool/state/Replica.kt
+++ b/src/main/kotlin/glenspool/state/Replica.kt
@@ -121,6 +121,9 @@
     }
 
     private fun put(e: StateWire.Change) {
+        // Pages are newer than the revision that the load began at. An answer from between the two, to the other duty, must not
+        // take a key back: a record could then be held without the level that it was written under.
+        if (entries[e.key].let { it != null && it.version > e.version }) return
         val value = e.value
         if (value == null) entries.remove(e.key) else entries[e.key] = StateWire.Item(e.key, value, e.version)
     }
--- a/src/main/kotlin/glenspool/wire/Cbor.kt
+++ b/src/main/kotlin/glenspool/wire/Cbor.kt
@@ -12,8 +12,6 @@
 /** A message that can't be understood; the text says which part. */
 class MalformedMessage(message: String) : IOException(message)
 
-typealias Fields = Map<String, Any?>
-
 /**
  * CBOR by Jackson's streaming interface, to and from plain maps. Neither reflection nor a tree of nodes is
  * needed, which keeps start-up short on a machine with a fifth of a core.
@@ -120,45 +118,3 @@
         }
     }
 }
-
-fun Fields.text(name: String): String = this[name] as? String ?: throw MalformedMessage("$name: a text is needed")
-
-fun Fields.textOrNull(name: String): String? = when (val v = this[name]) {
-    null -> null
-    is String -> v
-    else -> throw MalformedMessage("$name: a text or null is needed")
-}
-
-fun Fields.amount(name: String): Double {
-    val d = (this[name] as? Number)?.toDouble() ?: throw MalformedMessage("$name: a number is needed")
-    if (!d.isFinite() || d < 0.0 || d > MAX_AMOUNT) throw MalformedMessage("$name: out of range")
-    return d
-}
-
-fun Fields.amountOrNull(name: String): Double? = if (this[name] == null) null else amount(name)
-
-/** Counts, versions and tokens. Those above Long's range never occur in the service's own numbers. */
-fun Fields.count(name: String): Long {
-    val v = this[name]
-    if (v is Long && v >= 0) return v
-    throw MalformedMessage("$name: a whole number is needed")
-}
-
-fun Fields.flag(name: String): Boolean = this[name] as? Boolean ?: throw MalformedMessage("$name: true or false is needed")
-
-fun Fields.flagOr(name: String, default: Boolean): Boolean = this[name] as? Boolean ?: default
-
-@Suppress("UNCHECKED_CAST")
-fun Fields.maps(name: String): List<Fields> {
-    val l = this[name] as? List<*> ?: throw MalformedMessage("$name: a list is needed")
-    if (l.any { it !is Map<*, *> }) throw MalformedMessage("$name: a list of maps is needed")
-    return l as List<Fields>
-}
-
-fun Fields.textsOrNull(name: String): List<String>? {
-    val l = this[name] ?: return null
-    if (l !is List<*>) throw MalformedMessage("$name: a list is needed")
-    return l.map { it as? String ?: throw MalformedMessage("$name: a list of texts is needed") }
-}
-
-private const val MAX_AMOUNT = 1e12
--- /dev/null
+++ b/src/test/kotlin/glenspool/api/GatedApiTest.kt
@@ -0,0 +1,90 @@
+package glenspool.api
+
+import glenspool.config.SettingsTest
+import glenspool.http.CallResult
+import glenspool.http.HttpListener
+import glenspool.rollout.FeatureGate
+import glenspool.rollout.FeatureRegistry
+import glenspool.rollout.LevelRecord
+import glenspool.rollout.LevelStage
+import glenspool.standin.ServedApi
+import glenspool.state.Keys
+import glenspool.state.Put
+import glenspool.state.RolloutRecords
+import glenspool.wire.RolloutWire
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.core.then
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.BeforeEach
+import org.junit.jupiter.api.Test
+import java.net.InetSocketAddress
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Submissions at a controller whose levels are managed. */
+class GatedApiTest : ServedApi(SettingsTest.GOOD.replace("[settings.cloud]", "[settings.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\n[settings.cloud]")) {
+    private val gate = FeatureGate(FeatureRegistry.CURRENT.of("build"), RolloutRecords(state) { true }::level)
+
+    @BeforeEach
+    fun manage() {
+        features = gate
+    }
+
+    private fun store(stage: LevelStage, level: Int = 1) =
+        state.transact(emptyMap(), listOf(Put(Keys.LEVEL, RolloutWire.encode(LevelRecord(level, "n", stage, 1, 5.milliseconds)))), emptyList())
+
+    @Test
+    fun `a job that waits is refused at once, and with when to come back, until its level is active`() {
+        assertEquals(201, submit(spec("run-1")).status)
+        assertEquals(503, submit(spec("run-2"), listOf("run-1")).status)
+        assertEquals(404, show("run-2").status)
+        store(LevelStage.ACTIVE)
+        assertEquals(201, submit(spec("run-2"), listOf("run-1")).status)
+        store(LevelStage.LEAVING)
+        // One that is known already is answered as known.
+        assertEquals(200, submit(spec("run-2"), listOf("run-1")).status)
+        assertEquals(503, submit(spec("run-3"), listOf("run-1")).status)
+        assertEquals(201, submit(spec("run-4")).status)
+    }
+
+    @Test
+    fun `a level that is left just before the record is stored refuses it`() {
+        submit(spec("run-1"))
+        store(LevelStage.ACTIVE)
+        state.beforeTransaction = { puts ->
+            if (puts.any { it.key == Keys.job("run-2") }) {
+                state.beforeTransaction = {}
+                store(LevelStage.LEAVING)
+            }
+        }
+        assertEquals(503, submit(spec("run-2"), listOf("run-1")).status)
+        assertTrue(Keys.job("run-2") !in state.entries)
+    }
+
+    @Test
+    fun `nothing is written in pieces before the level is active, whatever the state service refuses`() {
+        state.valueLimit = 2048
+        val long = spec("run-1").copy(types = List(150) { "some-type-$it" } + "big")
+        assertEquals(503, submit(long).status)
+        assertEquals(emptyList<String>(), state.entries.keys.filter { it.startsWith(Keys.PIECE) })
+        store(LevelStage.ACTIVE)
+        assertEquals(201, submit(long).status)
+    }
+
+    @Test
+    fun `a fenced controller refuses everything at once and says which level it would need`() {
+        var refusals = 0
+        val door = refusalFilter { refusals++ }.then(fenceFilter(gate::fence)).then { Response(Status.OK) }
+        val listener = HttpListener(InetSocketAddress("127.0.0.1", 0), "api", 2, door)
+        fun ask(path: String) = http.get("127.0.0.1:${listener.port}", path, 2.seconds) as CallResult.Answer
+        assertEquals(200, ask("/ready").status)
+        store(LevelStage.ACTIVE, level = 2)
+        assertEquals(listOf(503, 503), listOf("/ready", "/api/jobs/run-1").map { ask(it).status })
+        assertEquals(2L, ask("/api/jobs/run-1").body["needs_level"])
+        assertTrue((ask("/ready").body["error"] as String).contains("level 2 (n) is active"))
+        assertEquals(2, refusals)
+        listener.close()
+    }
+}
--- a/src/test/kotlin/glenspool/api/UserApiTest.kt
+++ b/src/test/kotlin/glenspool/api/UserApiTest.kt
@@ -8,6 +8,7 @@
 import glenspool.peer.PeerClient
 import glenspool.peer.PeerServer
 import glenspool.peer.PeerStatus
+import glenspool.rollout.UnmanagedFeatures
 import glenspool.standin.ServedApi
 import glenspool.standin.bigType
 import glenspool.state.Keys
@@ -113,7 +114,7 @@
         val peersClient = StateClient("127.0.0.1:${reachable.port}", http)
         val peersReplica = Replica(peersClient, 1000.0) { _, _ -> }
         val peersSyncs = syncing(peersReplica)
-        val peersApi = UserApi(settings, peersClient, peersReplica, PeerClient(emptyList()), { false }, { true }, { true }) { types }
+        val peersApi = UserApi(settings, peersClient, peersReplica, PeerClient(emptyList()), { false }, UnmanagedFeatures { true }, { true }) { types }
         val peer = HttpListener(InetSocketAddress("127.0.0.1", 0), "peer", 4, PeerServer({ PeerStatus("n1", false, null, true) }, { null }, peersApi::local))
         members = listOf(Member("n1", "here", InetSocketAddress("127.0.0.1", peer.port)))
         outside.close()
--- a/src/test/kotlin/glenspool/layout/LayersTest.kt
+++ b/src/test/kotlin/glenspool/layout/LayersTest.kt
@@ -13,11 +13,12 @@
     /** What each package may import of our own. */
     private val allowed = mapOf(
         "core" to setOf("core"),
-        "wire" to setOf("core", "wire"),
-        "config" to setOf("core", "config"),
+        "rollout" to setOf("rollout"),
+        "wire" to setOf("core", "rollout", "wire"),
+        "config" to setOf("core", "rollout", "config"),
         "logging" to setOf("logging"),
         "http" to setOf("wire", "http", "logging"),
-        "state" to setOf("core", "http", "wire", "state", "logging"),
+        "state" to setOf("core", "http", "rollout", "wire", "state", "logging"),
         "cloud" to setOf("core", "http", "wire", "cloud", "logging"),
         "worker" to setOf("core", "http", "wire", "worker", "logging"),
         "peer" to setOf("config", "http", "peer", "logging"),
@@ -38,9 +39,9 @@
     }
 
     @Test
-    fun `the core does no input or output and starts no thread`() {
+    fun `the core and the rollout do no input or output and start no thread`() {
         val forbidden = listOf("java.io", "java.net", "java.util.concurrent", "java.time.Instant", "org.http4k", "org.slf4j", "com.fasterxml", "Thread")
-        val wrong = files.filter { layer(it) == "core" }.flatMap { f ->
+        val wrong = files.filter { layer(it) == "core" || layer(it) == "rollout" }.flatMap { f ->
             f.readLines().filter { l -> l.startsWith("import ") && forbidden.any { it in l } }.map { "${f.name}: $it" }
         }
         assertEquals(emptyList<String>(), wrong)
--- a/src/test/kotlin/glenspool/meetings/CloseLooksTest.kt
+++ b/src/test/kotlin/glenspool/meetings/CloseLooksTest.kt
@@ -10,6 +10,7 @@
 import glenspool.http.HttpCaller
 import glenspool.http.HttpListener
 import glenspool.peer.PeerClient
+import glenspool.rollout.UnmanagedFeatures
 import glenspool.standin.StateStandIn
 import glenspool.standin.bigType
 import glenspool.standin.job
@@ -68,7 +69,7 @@
             }
         }
         open.add(AutoCloseable { duty.interrupt() })
-        return UserApi(settings, client, replica, PeerClient(emptyList()), { false }, { true }, { true }) { listOf(bigType) }
+        return UserApi(settings, client, replica, PeerClient(emptyList()), { false }, UnmanagedFeatures { true }, { true }) { listOf(bigType) }
     }
 
     @AfterEach
--- a/src/test/kotlin/glenspool/standin/ServedApi.kt
+++ b/src/test/kotlin/glenspool/standin/ServedApi.kt
@@ -12,6 +12,8 @@
 import glenspool.http.HttpCaller
 import glenspool.http.HttpListener
 import glenspool.peer.PeerClient
+import glenspool.rollout.FeaturePermits
+import glenspool.rollout.UnmanagedFeatures
 import glenspool.state.Keys
 import glenspool.state.Put
 import glenspool.state.Replica
@@ -38,10 +40,12 @@
     protected val settings by lazy { SettingsReader().read(File(dir, "s.toml").also { it.writeText(settingsText) }) }
     protected var members = emptyList<Member>()
     protected var membersNew = true
+    protected var features: FeaturePermits = UnmanagedFeatures { membersNew }
     protected var cutOff = false
     protected var confirmable = true
     private val node by lazy {
-        HttpListener(InetSocketAddress("127.0.0.1", 0), "api", 8, UserApi(settings, client, replica, PeerClient(members), { cutOff }, { membersNew }, { confirmable }) { types })
+        val users = UserApi(settings, client, replica, PeerClient(members), { cutOff }, features, { confirmable }) { types }
+        HttpListener(InetSocketAddress("127.0.0.1", 0), "api", 8, users)
     }
     protected val addr get() = "127.0.0.1:${node.port}"
 
