--- a/src/test/kotlin/glenspool/rollout/RolloutCasesTest.kt
+++ b/src/test/kotlin/glenspool/rollout/RolloutCasesTest.kt
@@ -246,6 +246,17 @@
         assertEquals(1, scene.active)
     }
 
+    @Test
+    fun `what is not understood of the rollout itself is never stored over`() {
+        scene.elect("a")
+        scene.state.transact(emptyMap(), listOf(Put(Keys.ROLLOUT_STATE, mapOf("target" to "far")), Put(Keys.ROLLOUT_ORDERS, mapOf("mode" to 1L))), emptyList())
+        val before = scene.state.entries.filterKeys { it.startsWith(Keys.ROLLOUT) }
+        scene.run(1.minutes)
+        assertEquals(HoldCause.ORDERS_UNREADABLE, hold()?.cause)
+        assertEquals(before, scene.state.entries.filterKeys { it.startsWith(Keys.ROLLOUT) })
+        assertNull(scene.records.orders().replaceableVersion())
+    }
+
     @Test
     fun `a build that no longer reads the base forms does not serve before its level is active`() {
         scene.member("a").restart(2, lowest = 1)
