--- a/src/main/kotlin/glenspool/cli/Rehearsal.kt
+++ b/src/main/kotlin/glenspool/cli/Rehearsal.kt
@@ -6,7 +6,11 @@
 import glenspool.http.cbor
 import glenspool.peer.CancelMessage
 import glenspool.peer.PeerClient
+import glenspool.peer.PeerPaths
+import glenspool.peer.PeerWire
 import glenspool.peer.RelayRequest
+import glenspool.peer.RolloutRequest
+import glenspool.peer.RolloutVerb
 import glenspool.wire.Cbor
 import org.http4k.core.Method
 import org.http4k.core.Request
@@ -27,6 +31,9 @@
  */
 object Rehearsal {
     private const val SOCKETS = 1000
+
+    /** Until a leader is elected and has gone one round. */
+    private val MANAGED = 1500.milliseconds
     private val ledger = AtomicLong(1)
     private val machineType = mapOf(
         "name" to "any", "cpus" to 8.0, "accelerators" to 1.0, "memory_gb" to 32.0, "local_gb" to 10.0, "fetch_gb_per_s" to 1.0,
@@ -58,6 +65,7 @@
                 itself.exchange(member, CancelMessage("itself", "0", 0, listOf(CancelMessage.Entry("run-000001", 0, 0)), 0, 1, true, 0, 0, "0", 0))
                 itself.relay(RelayRequest("GET", "/api/jobs/run-000001", ByteArray(0)), 2.seconds)
             }
+            managed(file, freePort(), freePort(), outside.port)
         } finally {
             outside.close()
             file.deleteOnExit()
@@ -65,6 +73,20 @@
         return 0
     }
 
+    /** Another start, with managed levels, up to where a leader has looked for evidence. */
+    private fun managed(file: File, api: Int, internal: Int, outside: Int) {
+        file.writeText(settings(api, internal, outside, freePort()))
+        val policy = File.createTempFile("rehearsal", ".toml")
+        try {
+            begin(listOf("--config", file.path, "--rollout", policy.path)).use {
+                Thread.sleep(MANAGED.inWholeMilliseconds)
+                HttpCaller(500.milliseconds).callRaw("POST", "127.0.0.1:$internal", PeerPaths.ROLLOUT, PeerWire.encode(RolloutRequest(RolloutVerb.STATUS)), 2.seconds)
+            }
+        } finally {
+            policy.deleteOnExit()
+        }
+    }
+
     private fun play(addr: String, worker: String) {
         val http = HttpCaller(500.milliseconds)
         http.get("127.0.0.1:${freePort()}", "/nobody-listens", 1.seconds)
--- a/src/test/kotlin/glenspool/cli/CommandLineTest.kt
+++ b/src/test/kotlin/glenspool/cli/CommandLineTest.kt
@@ -3,36 +3,21 @@
 import glenspool.config.SettingsTest
 import glenspool.http.HttpListener
 import glenspool.http.cbor
+import glenspool.standin.CapturedRun
 import glenspool.wire.Cbor
 import org.http4k.core.Status
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.io.TempDir
-import java.io.ByteArrayOutputStream
 import java.io.File
-import java.io.PrintStream
 import java.net.InetSocketAddress
 
 class CommandLineTest {
     @TempDir
     lateinit var dir: File
 
-    private class Result(val code: Int, val out: String, val err: String)
-
-    private fun run(vararg args: String): Result {
-        val out = ByteArrayOutputStream()
-        val err = ByteArrayOutputStream()
-        val before = System.out to System.err
-        System.setOut(PrintStream(out))
-        System.setErr(PrintStream(err))
-        try {
-            return Result(execute(args.toList()), out.toString(), err.toString())
-        } finally {
-            System.setOut(before.first)
-            System.setErr(before.second)
-        }
-    }
+    private fun run(vararg args: String) = CapturedRun.of { execute(args.toList()) }
 
     @Test
     fun `wrong usage is told on standard error with code 2`() {
--- a/src/test/kotlin/glenspool/cli/RolloutCommandTest.kt
+++ b/src/test/kotlin/glenspool/cli/RolloutCommandTest.kt
@@ -10,6 +10,7 @@
 import glenspool.peer.RolloutServer
 import glenspool.peer.RolloutStatus
 import glenspool.peer.RolloutVerb
+import glenspool.standin.CapturedRun
 import org.http4k.core.Response
 import org.http4k.core.Status
 import org.junit.jupiter.api.AfterEach
@@ -17,8 +18,6 @@
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
-import java.io.ByteArrayOutputStream
-import java.io.PrintStream
 import java.net.InetSocketAddress
 
 class RolloutCommandTest {
@@ -34,30 +33,19 @@
     @AfterEach
     fun close() = listener.close()
 
-    private fun run(vararg args: String): Triple<Int, String, String> {
-        val out = ByteArrayOutputStream()
-        val err = ByteArrayOutputStream()
-        val before = System.out to System.err
-        System.setOut(PrintStream(out))
-        System.setErr(PrintStream(err))
-        try {
-            return Triple(execute(listOf("rollout") + args), out.toString(), err.toString())
-        } finally {
-            System.setOut(before.first)
-            System.setErr(before.second)
-        }
-    }
+    private fun run(vararg args: String) = CapturedRun.of { execute(listOf("rollout") + args) }
 
     @Test
     fun `status and plan are told in words and in JSON`() {
-        val (code, text) = run("status", "--node", node)
-        assertEquals(0, code)
+        val status = run("status", "--node", node)
+        val text = status.out
+        assertEquals(0, status.code)
         val parts = listOf(
             "active level 1 (sealed-records, active)", "target 2", "held: member_old_build by bobbin-2 (build-1)", "bobbin-2: build-1, highest level 1, ready for 7 s",
         )
         parts.forEach { assertTrue(it in text, "$it in $text") }
-        assertEquals("1. replace bobbin-2\n2. replace bobbin-0 (it leads, so it comes last)\n", run("plan", "--node", node).second)
-        val json = ObjectMapper().readTree(run("status", "--json", "--node", node).second)
+        assertEquals("1. replace bobbin-2\n2. replace bobbin-0 (it leads, so it comes last)\n", run("plan", "--node", node).out)
+        val json = ObjectMapper().readTree(run("status", "--json", "--node", node).out)
         assertEquals("bobbin-2", json.path("status").path("holdMember").asText())
         assertEquals(1, json.path("status").path("level").asInt())
         assertEquals(setOf(RolloutVerb.STATUS), asked.map { it.verb }.toSet())
@@ -65,13 +53,13 @@
 
     @Test
     fun `orders are passed on with who gave them, and refusals are told`() {
-        assertEquals(0, run("activate", "--node", node, "--by", "somebody", "2").first)
-        assertEquals(0, run("exclude", "--node", node, "--by", "somebody", "bobbin-2").first)
+        assertEquals(0, run("activate", "--node", node, "--by", "somebody", "2").code)
+        assertEquals(0, run("exclude", "--node", node, "--by", "somebody", "bobbin-2").code)
         assertEquals(listOf(RolloutRequest(RolloutVerb.ACTIVATE, 2, null, "somebody"), RolloutRequest(RolloutVerb.EXCLUDE, null, "bobbin-2", "somebody")), asked)
         reply = RolloutReply(false, "level 9 is not known", 2)
-        val (code, out, err) = run("deactivate", "--node", node, "9")
-        assertEquals(1, code)
-        assertEquals("" to "glenspool: level 9 is not known; try again in 2 s\n", out to err)
+        val refused = run("deactivate", "--node", node, "9")
+        assertEquals(1, refused.code)
+        assertEquals("" to "glenspool: level 9 is not known; try again in 2 s\n", refused.out to refused.err)
     }
 
     @Test
@@ -80,16 +68,16 @@
             listOf(), listOf("dance", "--node", node), listOf("status"), listOf("status", "--node", "nowhere"), listOf("status", "--node", node, "x"),
             listOf("activate", "--node", node), listOf("activate", "--node", node, "one"), listOf("activate", "--node", node, "0"), listOf("exclude", "--node", node),
         )
-        for (args in wrong) assertEquals(2, run(*args.toTypedArray()).first, "$args")
+        for (args in wrong) assertEquals(2, run(*args.toTypedArray()).code, "$args")
         assertEquals(emptyList<RolloutRequest>(), asked)
     }
 
     @Test
     fun `a controller that does not manage levels, or is not there, is told apart`() {
         val other = HttpListener(InetSocketAddress("127.0.0.1", 0), "other", 2, { Response(Status.NOT_FOUND) })
-        assertTrue("does not manage rollouts" in run("status", "--node", "127.0.0.1:${other.port}").third)
+        assertTrue("does not manage rollouts" in run("status", "--node", "127.0.0.1:${other.port}").err)
         other.close()
-        assertEquals(1, run("status", "--node", "127.0.0.1:1").first)
+        assertEquals(1, run("status", "--node", "127.0.0.1:1").code)
     }
 
     @Test
--- a/src/test/kotlin/glenspool/rollout/UpgradeUnderLoadTest.kt
+++ b/src/test/kotlin/glenspool/rollout/UpgradeUnderLoadTest.kt
@@ -62,9 +62,13 @@
             service.await("jobs run") { service.history.finished.size >= 5 }
             // The first upgraded members alone change nothing, however long it takes.
             service.phase("one left behind") {
-                names.filter { it != service.leader }.forEach { service.replace(it, new) }
+                val behind = checkNotNull(service.leader)
+                names.filter { it != behind }.forEach { service.replace(it, new) }
+                repeat(4) { service.endOne { name -> if (name == behind) old else new } }
+                service.outage(1.seconds)
+                service.endOne { name -> if (name == behind) old else new }
                 val begun = service.now
-                service.await("three seconds have passed") { service.now - begun > 3.seconds }
+                service.await("two seconds have passed") { service.now - begun > 2.seconds }
                 assertEquals(1L to "active", service.level())
             }
             // A rollback halfway, and forward again.
--- a/src/test/kotlin/glenspool/standin/LoopbackService.kt
+++ b/src/test/kotlin/glenspool/standin/LoopbackService.kt
@@ -78,6 +78,22 @@
         await("work starts again") { history.lastStart > replaced }
     }
 
+    /** Ends a random controller and starts the same build in its place, within a fraction of a second. */
+    fun endOne(registryOf: (String) -> FeatureRegistry) {
+        val name = names[random.nextInt(names.size)]
+        replace(name, registryOf(name))
+    }
+
+    /** The state service answers nobody for a while, and the service finds back afterwards. */
+    fun outage(time: Duration) {
+        val begun = now
+        state.down = true
+        await("the outage is over") { now - begun > time }
+        state.down = false
+        val ended = now
+        await("work starts again after the outage") { history.lastStart > ended }
+    }
+
     fun ask(name: String, request: RolloutRequest = RolloutRequest(RolloutVerb.STATUS)): RolloutReply = checkNotNull(nodes[name]).rolloutAnswer(request)
 
     /** The status of a controller's users' door. */
