Every order carries a typed cause and is counted by it

Need: after a restart nobody could say which starts, stops, rentals and deletions a leader gave, and why; a restart that orders too much could not be told from one that mends. Each command, rental and deletion now carries a cause of a sealed type, so an order without one does not compile; the leader counts them and writes a line a minute. Behaviour is unchanged.

--- a/src/main/kotlin/glenspool/api/WorkerApi.kt
+++ b/src/main/kotlin/glenspool/api/WorkerApi.kt
@@ -3,6 +3,7 @@
 import glenspool.config.Settings
 import glenspool.controller.CoreLoop
 import glenspool.controller.Node
+import glenspool.core.StopCause
 import glenspool.core.model.Command
 import glenspool.core.model.Report
 import glenspool.core.model.StopTask
@@ -67,7 +68,7 @@
     /** A cancelled job stays cancelled, so any node may have its tasks stopped, with whatever token is in force. */
     private fun stopsOfCancelled(r: Report): List<Command> = r.tasks
         .filter { it.state != TaskState.EXITED && node.cancellations.knows(it.key.job) }
-        .map { StopTask(it.key, it.attempt, Duration.ZERO) }
+        .map { StopTask(it.key, it.attempt, Duration.ZERO, StopCause.CANCELLED) }
 
     companion object {
         private val log = loggerOf(WorkerApi::class.java)
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -45,6 +45,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
 /**
@@ -79,6 +80,7 @@
     private val clock = TimeSource.Monotonic.markNow()
     private var session: Session? = null
     private var pausedSince: Duration? = null
+    private var summarizedAt = Duration.ZERO
     private val stored = StoredJob(replica)
 
     /** A machine that does not answer holds a thread for seconds, and tens of them may be lost at once. */
@@ -154,6 +156,16 @@
             splittingKnown()
             tick()
         }
+        summarizeOrders()
+    }
+
+    /** Once in a while, and only if there was anything to count since. */
+    private fun summarizeOrders() {
+        val scheduler = session?.scheduler ?: return
+        if (scheduler.now - summarizedAt < SUMMARY_EVERY) return
+        summarizedAt = scheduler.now
+        val counts = scheduler.counts.toString()
+        if (counts.isNotEmpty()) log.info("orders token={} {}", scheduler.token, counts)
     }
 
     private fun Scheduler.splittingKnown() {
@@ -359,6 +371,7 @@
         /** A command to each machine of a large fleet may wait its turn. */
         private const val QUEUED_CALLS = 10_000
         private val TICK: Duration = 250.milliseconds
+        private val SUMMARY_EVERY: Duration = 60.seconds
     }
 }
 
--- a/src/main/kotlin/glenspool/core/Actions.kt
+++ b/src/main/kotlin/glenspool/core/Actions.kt
@@ -13,11 +13,15 @@
 /** Ask a silent machine for its report. */
 data class Probe(val machine: String, val addr: String) : Action
 
-/** Rent machines; a request name is never used twice. */
-data class Rent(val request: String, val type: String, val zone: String, val spot: Boolean, val count: Int) : Action
+/** Rent machines; a request name is never used twice. [causes]: how many of them are wanted for what. */
+data class Rent(val request: String, val type: String, val zone: String, val spot: Boolean, val causes: Map<RentalCause, Int>) : Action {
+    val count: Int get() = causes.values.sum()
+}
+
+/** Delete machines, each for its cause. */
+data class Delete(val causes: Map<String, DeletionCause>) : Action {
+    val machines: List<String> get() = causes.keys.toList()
 
-/** Delete machines. */
-data class Delete(val machines: List<String>) : Action {
     companion object {
         /** How many machines the cloud deletes at one request. */
         const val MAX_MACHINES = 100
--- /dev/null
+++ b/src/main/kotlin/glenspool/core/OrderCause.kt
@@ -0,0 +1,117 @@
+package glenspool.core
+
+/** What kind of order leaves a controller. */
+enum class OrderKind { START, STOP, FORGET, RENTAL, DELETION }
+
+/**
+ * Why an order was given. Every order carries one, so that all that a leader did can be counted by kind and cause, and a new way
+ * to give an order does not compile without saying why.
+ */
+sealed interface OrderCause {
+    val kind: OrderKind
+    val name: String
+
+    /** The name as operators read it. */
+    val label: String get() = name.lowercase().replace('_', '-')
+}
+
+/** Why a task is started. */
+enum class StartCause : OrderCause {
+    /** It was placed in this term. */
+    PLACED,
+
+    /** An earlier start of the same attempt had no answer, or was refused for the moment. */
+    RETRIED,
+    ;
+
+    override val kind get() = OrderKind.START
+}
+
+/** Why a task is stopped. */
+enum class StopCause : OrderCause {
+    CANCELLED,
+    PREEMPTED,
+
+    /** The cloud takes the machine back. */
+    NOTICE,
+    GANG_BROKEN,
+
+    /** The task has no stored place on that machine, though its job is known. */
+    ORPHANED,
+
+    /** The state service knows no such job. */
+    UNRECORDED,
+    ;
+
+    override val kind get() = OrderKind.STOP
+}
+
+/** Why a worker may forget an ended task. */
+enum class ForgetCause : OrderCause {
+    /** Its result is stored. */
+    RECORDED,
+
+    /** It has no result that anybody needs. */
+    NO_RESULT,
+    ;
+
+    override val kind get() = OrderKind.FORGET
+}
+
+/** Why machines are rented. */
+enum class RentalCause : OrderCause {
+    /** Services and gangs wait for places. */
+    WAITING_WORK,
+
+    /** Arrays have more work than the fleet gets through in time. */
+    BACKLOG,
+
+    /** Spare room for critical services that are likely to come. */
+    HEADROOM,
+    ;
+
+    override val kind get() = OrderKind.RENTAL
+}
+
+/** Why a machine is deleted. */
+enum class DeletionCause : OrderCause {
+    /** The cloud says that it stopped on its own. */
+    FAILED,
+
+    /** The cloud takes it back, and nothing is left on it. */
+    NOTICE,
+    NEVER_CAME_UP,
+
+    /** Cancelled work is still on it, and its time is nearly over. */
+    CANCELLED_WORK,
+
+    /** It is heard, and nothing reaches it. */
+    UNREACHABLE,
+    SILENT,
+    NOT_NEEDED,
+    ;
+
+    override val kind get() = OrderKind.DELETION
+}
+
+/** How many orders a leader has given in its term, by cause. Machines are counted where an order names several. */
+class OrderCounts {
+    private val counts = LinkedHashMap<OrderCause, Long>()
+
+    fun add(cause: OrderCause, orders: Int = 1) {
+        counts.merge(cause, orders.toLong(), Long::plus)
+    }
+
+    /** A copy, by kind and cause in the order of their declaration; causes that never came up are left out. */
+    fun snapshot(): Map<OrderCause, Long> = counts.entries
+        .sortedWith(compareBy({ it.key.kind }, { it.key.name }))
+        .associateTo(LinkedHashMap()) { it.key to it.value }
+
+    override fun toString(): String = describe(snapshot())
+
+    companion object {
+        /** As one line of the log: `start.placed=12 stop.cancelled=3`. */
+        fun describe(counts: Map<OrderCause, Long>): String =
+            counts.entries.joinToString(" ") { (cause, number) -> "${cause.kind.name.lowercase()}.${cause.label}=$number" }
+    }
+}
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -1,5 +1,6 @@
 package glenspool.core
 
+import glenspool.core.StopCause
 import glenspool.core.capacity.Capacity
 import glenspool.core.cluster.Evidence
 import glenspool.core.cluster.ImageHints
@@ -13,7 +14,6 @@
 import glenspool.core.lifecycle.RecordMerging
 import glenspool.core.lifecycle.Shelves
 import glenspool.core.lifecycle.Step
-import glenspool.core.lifecycle.StopReason
 import glenspool.core.lifecycle.Storing
 import glenspool.core.lifecycle.Tending
 import glenspool.core.model.Amount
@@ -95,6 +95,9 @@
         private set
     private var wall = Duration.ZERO
     override val effort = Effort()
+
+    /** The orders that were given in this term. */
+    val counts = OrderCounts()
     private val teams = config.teams.associateBy { it.name }
     private val usage = HashMap<String, Amount>()
     private val actions = ArrayList<Action>()
@@ -244,7 +247,7 @@
         chains.cancelled(id)
         job.cancelledAt = now - maxOf(Duration.ZERO, wall - at)
         for (p in job.placements.values.toList()) {
-            if (p.step == Step.INTENDED && !job.writing) drop(p) else stop(p, StopReason.CANCELLED, Duration.ZERO)
+            if (p.step == Step.INTENDED && !job.writing) drop(p) else stop(p, StopCause.CANCELLED, Duration.ZERO)
         }
         dirtyRound = true
     }
@@ -336,7 +339,7 @@
             if (!m.everHeard) m.booting = l.stage == MachineStage.BOOTING
             if (l.stage == MachineStage.FAILED && !m.failed) {
                 m.failed = true
-                watch.delete(m, "failed")
+                watch.delete(m, DeletionCause.FAILED)
             }
         }
         for (m in machines.values) {
@@ -442,11 +445,14 @@
         if (important || config.notes) actions.add(Note(text(), important))
     }
 
-    fun stop(p: Placement, reason: StopReason, grace: Duration) = orders.stop(p, reason, grace)
+    fun stop(p: Placement, cause: StopCause, grace: Duration) = orders.stop(p, cause, grace)
 
-    fun returnMachine(m: Machine) = watch.delete(m, "not-needed")
+    fun returnMachine(m: Machine) = watch.delete(m, DeletionCause.NOT_NEEDED)
 
-    fun rent(r: Rent) = act(r)
+    fun rent(r: Rent) {
+        r.causes.forEach { (cause, number) -> counts.add(cause, number) }
+        act(r)
+    }
 
     private fun raiseToken() {
         if (raising || now - raisedAt < config.lease / 2) return
--- a/src/main/kotlin/glenspool/core/capacity/Capacity.kt
+++ b/src/main/kotlin/glenspool/core/capacity/Capacity.kt
@@ -1,6 +1,7 @@
 package glenspool.core.capacity
 
 import glenspool.core.Rent
+import glenspool.core.RentalCause
 import glenspool.core.Scheduler
 import glenspool.core.cluster.Machine
 import glenspool.core.cluster.allowed
@@ -57,11 +58,13 @@
         for ((id, at) in retryAt.entries.toList()) {
             if (now < at) continue
             retryAt.remove(id)
-            open[id]?.let { core.rent(it) }
+            // The same request again, which rents nothing twice.
+            open[id]?.let(core::act)
         }
     }
 
-    private class Virtual(val offer: Offer, var room: Amount, val fresh: Boolean)
+    /** A machine on paper. [wantedFor]: why it is to be rented; null if it is on its way already. */
+    private class Virtual(val offer: Offer, var room: Amount, val wantedFor: RentalCause?)
 
     /** Machines that are on their way or wanted, on paper, for one plan. */
     private class Paper(val machinesIn: Map<String, Int>) {
@@ -70,7 +73,7 @@
 
         fun add(v: Virtual) {
             virtual.add(v)
-            if (v.fresh) freshIn.merge(v.offer.zone, 1, Int::plus)
+            if (v.wantedFor != null) freshIn.merge(v.offer.zone, 1, Int::plus)
         }
 
         fun crowd(zone: String): Int = (machinesIn[zone] ?: 0) + (freshIn[zone] ?: 0)
@@ -114,11 +117,11 @@
             val t = core.types[m.type] ?: continue
             // A machine that was heard and then no more, or that nothing reaches, is not on its way.
             val lost = m.mutedSince != null || silent(m)
-            if (!m.deleting && !m.failed && !m.trusted && !lost) paper.add(Virtual(Offer(m.type, m.zone, m.spot), m.free(t), false))
+            if (!m.deleting && !m.failed && !m.trusted && !lost) paper.add(Virtual(Offer(m.type, m.zone, m.spot), m.free(t), null))
         }
         for (r in open.values) {
             val t = core.types[r.type] ?: continue
-            repeat(r.count) { paper.add(Virtual(Offer(r.type, r.zone, r.spot), t.room, false)) }
+            repeat(r.count) { paper.add(Virtual(Offer(r.type, r.zone, r.spot), t.room, null)) }
         }
         val waiting = core.jobs.values
             .filter { it.waitingCount() > 0 && it.failedOn.size < 3 }
@@ -179,8 +182,8 @@
                 val drain = work / maxOf(places, 1)
                 val patience = if (spec.spot) spotPatience else minOf(spotPatience, ordinaryPatience)
                 if (drain <= patience && !stuck) return@repeat
-                val v = fresh(cursor, paper, now, if (spec.spot) true else null)
-                    ?: (if (drain > ordinaryPatience || stuck) fresh(cursor, paper, now, null) else null)
+                val v = fresh(cursor, paper, now, if (spec.spot) true else null, RentalCause.BACKLOG)
+                    ?: (if (drain > ordinaryPatience || stuck) fresh(cursor, paper, now, null, RentalCause.BACKLOG) else null)
                     ?: return@repeat
                 paper.add(v)
                 stuck = false
@@ -269,7 +272,7 @@
         if (job.spec.sameZone) zone = paper.virtual.groupingBy { it.offer.zone }.eachCount().maxByOrNull { it.value }?.key
         val cursor = Cursor(job.spec, zone, zoneRoom(job))
         while (n > 0) {
-            if (!put(cursor, paper, now)) return
+            if (!put(cursor, paper, now, RentalCause.WAITING_WORK)) return
             n--
         }
     }
@@ -282,14 +285,14 @@
         return left
     }
 
-    private fun put(cursor: Cursor, paper: Paper, now: Duration): Boolean {
+    private fun put(cursor: Cursor, paper: Paper, now: Duration, cause: RentalCause): Boolean {
         if (cursor.place(paper)) return true
-        paper.add(fresh(cursor, paper, now, null) ?: return false)
+        paper.add(fresh(cursor, paper, now, null, cause) ?: return false)
         return cursor.place(paper)
     }
 
     /** The cheapest kind of machine for the task that is not known to be refused, in the zone with fewest machines. */
-    private fun fresh(cursor: Cursor, paper: Paper, now: Duration, onlySpot: Boolean?): Virtual? {
+    private fun fresh(cursor: Cursor, paper: Paper, now: Duration, onlySpot: Boolean?, cause: RentalCause): Virtual? {
         val spec = cursor.spec
         val offers = ArrayList<Pair<Offer, MachineType>>()
         for (t in core.types.values) {
@@ -307,7 +310,7 @@
             compareBy<Pair<Offer, MachineType>> { (o, t) -> (if (o.spot) t.spotPrice else t.price) / maxOf(1, spec.need.countIn(t.room)) }
                 .thenBy { (o, _) -> paper.crowd(o.zone) },
         ) ?: return null
-        return Virtual(best.first, best.second.room, true)
+        return Virtual(best.first, best.second.room, cause)
     }
 
     /** How many tasks of the class are likely to arrive while another machine could be got ready. */
@@ -337,15 +340,16 @@
         for (a in arrivals.values) {
             var missing = spare.missing(a)
             val cursor = Cursor(a.spec)
-            while (missing-- > 0) if (!put(cursor, paper, now)) break
+            while (missing-- > 0) if (!put(cursor, paper, now, RentalCause.HEADROOM)) break
         }
     }
 
     private fun order(paper: Paper) {
-        for ((offer, list) in paper.virtual.filter { it.fresh }.groupBy { it.offer }) {
+        for ((offer, list) in paper.virtual.filter { it.wantedFor != null }.groupBy { it.offer }) {
             if (open.size >= MAX_OPEN) return
             // The token is this leadership's alone, so the name is never used again by anybody.
-            val r = Rent("r-${core.token}-${++serial}", offer.type, offer.zone, offer.spot, minOf(list.size, MAX_RENT))
+            val causes = list.take(MAX_RENT).mapNotNull { it.wantedFor }.groupingBy { it }.eachCount()
+            val r = Rent("r-${core.token}-${++serial}", offer.type, offer.zone, offer.spot, causes)
             open[r.request] = r
             core.rent(r)
         }
--- a/src/main/kotlin/glenspool/core/cluster/CancelledWork.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CancelledWork.kt
@@ -1,5 +1,6 @@
 package glenspool.core.cluster
 
+import glenspool.core.StopCause
 import glenspool.core.model.Report
 import glenspool.core.model.StopTask
 import glenspool.core.model.TaskState
@@ -48,7 +49,7 @@
         val left = report.tasks.filter { it.state != TaskState.EXITED && it.key.job in s.jobs }
         val busy = left.map { it.key.job }.toSet()
         cleared.getOrPut(s.machine) { HashSet() }.addAll(s.jobs - busy)
-        return left.map { StopTask(it.key, it.attempt, Duration.ZERO) }
+        return left.map { StopTask(it.key, it.attempt, Duration.ZERO, StopCause.CANCELLED) }
     }
 
     /** Machines that have to be deleted at [now]: they were asked, and what is on them was neither seen to be gone nor stopped. */
--- a/src/main/kotlin/glenspool/core/cluster/Evidence.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Evidence.kt
@@ -1,6 +1,8 @@
 package glenspool.core.cluster
 
+import glenspool.core.ForgetCause
 import glenspool.core.Scheduler
+import glenspool.core.StopCause
 import glenspool.core.lifecycle.Job
 import glenspool.core.lifecycle.Placement
 import glenspool.core.lifecycle.Step
@@ -175,16 +177,31 @@
                 // A start still on its way would start the task again after this.
                 if (m.mayStillStart(t.key, t.attempt)) continue
                 if (t.exit == Exit.DONE && job != null && !job.finished && job.spec.kind != JobKind.SERVICE && !job.storedDone[t.key.task]) continue
-                result.add(ForgetTask(t.key, t.attempt))
+                result.add(ForgetTask(t.key, t.attempt, if (t.exit == Exit.DONE && job != null) ForgetCause.RECORDED else ForgetCause.NO_RESULT))
             } else if (p == null) {
-                result.add(StopTask(t.key, t.attempt, Duration.ZERO))
-            } else if (p.stop != null && p.stopSent.let { it != null && now - it > core.config.report * 0.7 } && t.state != TaskState.SAVING) {
-                result.add(StopTask(t.key, t.attempt, p.stopGrace))
+                result.add(StopTask(t.key, t.attempt, Duration.ZERO, orphanCause(job)))
+            } else {
+                repeatedStop(p, t)?.let(result::add)
             }
         }
+        result.forEach { core.counts.add(it.cause) }
         return result
     }
 
+    private fun orphanCause(job: Job?): StopCause = when {
+        job == null -> StopCause.UNRECORDED
+        job.cancelled -> StopCause.CANCELLED
+        else -> StopCause.ORPHANED
+    }
+
+    /** A stop that should have been carried out by now. */
+    private fun repeatedStop(p: Placement, t: ReportedTask): StopTask? {
+        val cause = p.stop ?: return null
+        val sent = p.stopSent ?: return null
+        if (now - sent <= core.config.report * 0.7 || t.state == TaskState.SAVING) return null
+        return StopTask(t.key, t.attempt, p.stopGrace, cause)
+    }
+
     private companion object {
         const val MAX_SLOWNESS = 5.0
     }
--- a/src/main/kotlin/glenspool/core/cluster/Machine.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Machine.kt
@@ -1,5 +1,6 @@
 package glenspool.core.cluster
 
+import glenspool.core.DeletionCause
 import glenspool.core.lifecycle.Job
 import glenspool.core.lifecycle.Placement
 import glenspool.core.model.Amount
@@ -36,8 +37,9 @@
     var missingSince: Duration? = null
     var failed = false
 
-    /** A deletion was sent or is wanted; the machine is never used again. */
-    var deleting = false
+    /** Why a deletion was sent or is wanted; the machine is never used again. Null: it is not given up. */
+    var deletion: DeletionCause? = null
+    val deleting: Boolean get() = deletion != null
     var deleteSent: Duration? = null
 
     /** Gets no more short work, so that it becomes empty and can be returned. */
--- a/src/main/kotlin/glenspool/core/cluster/Orders.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Orders.kt
@@ -3,12 +3,13 @@
 import glenspool.core.Direct
 import glenspool.core.DirectOutcome
 import glenspool.core.Scheduler
+import glenspool.core.StopCause
 import glenspool.core.lifecycle.Placement
 import glenspool.core.lifecycle.Step
-import glenspool.core.lifecycle.StopReason
 import glenspool.core.model.Command
 import glenspool.core.model.StartTask
 import glenspool.core.model.StopTask
+import glenspool.core.model.asWorkersSeeIt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -25,15 +26,15 @@
         pending.add(m)
     }
 
-    fun stop(p: Placement, reason: StopReason, grace: Duration) {
-        if (p.stop != null && !(reason == StopReason.CANCELLED && p.stop != StopReason.CANCELLED)) return
-        p.stop = reason
-        core.note { "stop task=${p.key.job}/${p.task} attempt=${p.attempt} machine=${p.machine} reason=$reason grace=$grace" }
+    fun stop(p: Placement, cause: StopCause, grace: Duration) {
+        if (p.stop != null && !(cause == StopCause.CANCELLED && p.stop != StopCause.CANCELLED)) return
+        p.stop = cause
+        core.note { "stop task=${p.key.job}/${p.task} attempt=${p.attempt} machine=${p.machine} reason=$cause grace=$grace" }
         p.stopGrace = grace
         p.stopSent = null
         val m = core.machines[p.machine] ?: return
         if (p.step == Step.INTENDED) return
-        add(m, StopTask(p.key, p.attempt, grace))
+        add(m, StopTask(p.key, p.attempt, grace, cause))
         p.stopSent = core.now
     }
 
@@ -52,7 +53,7 @@
             val commands = m.orders.filter { c ->
                 val p = m.placements[c.key]
                 c !is StartTask || (p != null && p.attempt == c.attempt && p.step != Step.INTENDED && p.stop == null)
-            }.distinct()
+            }.distinctBy { it.asWorkersSeeIt() }
             m.orders.clear()
             if (commands.isEmpty()) continue
             for (c in commands) {
@@ -69,6 +70,7 @@
     fun send(m: Machine, commands: List<Command>) {
         m.directAt = core.now
         m.directBusy = true
+        commands.forEach { core.counts.add(it.cause) }
         core.act(Direct(m.id, m.addr, core.token, m.session, commands))
     }
 
--- a/src/main/kotlin/glenspool/core/cluster/Watch.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Watch.kt
@@ -1,12 +1,13 @@
 package glenspool.core.cluster
 
 import glenspool.core.Delete
+import glenspool.core.DeletionCause
 import glenspool.core.Probe
 import glenspool.core.Resign
 import glenspool.core.Scheduler
+import glenspool.core.StopCause
 import glenspool.core.lifecycle.Job
 import glenspool.core.lifecycle.Step
-import glenspool.core.lifecycle.StopReason
 import glenspool.core.model.TaskState
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -74,8 +75,8 @@
     }
 
     private fun watch(m: Machine) {
-        if (m.deleting) {
-            if (m.deleteSent == null && now >= m.directRetry) sendDelete(m)
+        m.deletion?.let { cause ->
+            if (m.deleteSent == null && now >= m.directRetry) sendDelete(m, cause)
             return
         }
         // What this process has yet to take in may have come from this very machine.
@@ -83,12 +84,12 @@
         if (m.booting && !m.everHeard) {
             val boot = core.types[m.type]?.boot ?: 60.seconds
             val age = maxOf(m.age, now - m.firstSeen)
-            if (age > boot * config.tuning.bootPatience + config.listLag * 2) delete(m, "never-came-up")
+            if (age > boot * config.tuning.bootPatience + config.listLag * 2) delete(m, DeletionCause.NEVER_CAME_UP)
             return
         }
         if (m.notice != null) {
             if (m.busyTasks() == 0 && m.trusted) {
-                delete(m, "notice")
+                delete(m, DeletionCause.NOTICE)
                 return
             }
             drainForNotice(m)
@@ -98,7 +99,7 @@
         if ((quiet > late || m.mutedSince != null) && m.addr.isNotEmpty() && now >= m.probeAt) probe(m)
         if (cancelledTooLong(m)) {
             // Cancelled work on a machine that does not carry out our commands must be gone in time, heard or not.
-            delete(m, "cancelled-work")
+            delete(m, DeletionCause.CANCELLED_WORK)
             return
         }
         if (zones.cut(m.zone)) return
@@ -106,7 +107,7 @@
         // Its reports come in, but nothing reaches it: its tasks die with its lease, session after session. Only
         // while other machines are reached, or it is our own way out that is cut.
         if (unreached != null && now - unreached > silence && reached > muted) {
-            delete(m, "unreachable")
+            delete(m, DeletionCause.UNREACHABLE)
             return
         }
         val limit = if (isGone(m) && m.listed) config.report * 2.5 else silence
@@ -116,7 +117,7 @@
             // costs it a time-out. Until then only questions without an answer show that the machine itself is lost.
             val mayBeElsewhere = (!m.everHeard || core.overloaded) && quiet <= config.lease && !isGone(m)
             if (mayBeElsewhere && m.mutedSince.let { it == null || now - it < probeGap + UNANSWERED_TWICE }) return
-            delete(m, "silent")
+            delete(m, DeletionCause.SILENT)
         }
     }
 
@@ -212,32 +213,33 @@
         for (p in m.placements.values) {
             if (p.stop != null || p.step != Step.SEEN) continue
             val s = p.job.spec
-            if (s.checkpoint > Duration.ZERO || p.state == TaskState.FETCHING) core.stop(p, StopReason.NOTICE, s.save + Scheduler.GRACE_SLACK)
+            if (s.checkpoint > Duration.ZERO || p.state == TaskState.FETCHING) core.stop(p, StopCause.NOTICE, s.save + Scheduler.GRACE_SLACK)
         }
     }
 
-    fun delete(m: Machine, why: String) {
+    fun delete(m: Machine, cause: DeletionCause) {
         if (m.deleting) return
-        core.note(important = true) { "give-up machine=${m.id} reason=$why tasks=${m.placements.size} heard=${m.heard} now=$now" }
-        m.deleting = true
+        core.note(important = true) { "give-up machine=${m.id} reason=${cause.label} tasks=${m.placements.size} heard=${m.heard} now=$now" }
+        m.deletion = cause
         m.orders.clear()
-        sendDelete(m)
+        sendDelete(m, cause)
     }
 
-    private val toDelete = LinkedHashSet<String>()
+    private val toDelete = LinkedHashMap<String, DeletionCause>()
     private var deletedAt = core.startedAt - 10.seconds
 
-    private fun sendDelete(m: Machine) {
+    private fun sendDelete(m: Machine, cause: DeletionCause) {
         m.deleteSent = now
-        toDelete.add(m.id)
+        toDelete[m.id] = cause
     }
 
     /** A lost rack is one call to the cloud, not one for each machine: its calls are few. */
     fun flush() {
         if (toDelete.isEmpty() || now - deletedAt < DELETE_GAP) return
         deletedAt = now
-        val batch = toDelete.take(Delete.MAX_MACHINES)
-        toDelete.removeAll(batch.toSet())
+        val batch = toDelete.entries.take(Delete.MAX_MACHINES).associate { it.key to it.value }
+        batch.keys.forEach(toDelete::remove)
+        batch.values.forEach(core.counts::add)
         core.act(Delete(batch))
     }
 
--- a/src/main/kotlin/glenspool/core/lifecycle/Job.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Job.kt
@@ -1,5 +1,6 @@
 package glenspool.core.lifecycle
 
+import glenspool.core.StopCause
 import glenspool.core.model.Amount
 import glenspool.core.model.Intent
 import glenspool.core.model.JobKind
@@ -24,9 +25,6 @@
     SEEN,
 }
 
-/** Why a task is being stopped. */
-enum class StopReason { CANCELLED, PREEMPTED, NOTICE, RETURNING, GANG_BROKEN, MOVED }
-
 /**
  * One attempt of a task on one machine. It holds room, team limit and zone from before its start command is
  * sent until there is proof that it is gone.
@@ -42,7 +40,7 @@
     /** The start waits until the gang's other tasks have their image; a waiting task gives up after a while. */
     var deferred = false
     var runningSince: Duration? = null
-    var stop: StopReason? = null
+    var stop: StopCause? = null
     var stopGrace: Duration = Duration.ZERO
     var stopSent: Duration? = null
 
--- a/src/main/kotlin/glenspool/core/lifecycle/Storing.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Storing.kt
@@ -6,6 +6,7 @@
 import glenspool.core.JobWrite
 import glenspool.core.SaveJob
 import glenspool.core.Scheduler
+import glenspool.core.StartCause
 import glenspool.core.Store
 import glenspool.core.StoreOutcome
 import glenspool.core.model.Priority
@@ -147,7 +148,7 @@
                         continue
                     }
                     p.step = Step.ORDERED
-                    if (!p.deferred) core.machines[p.machine]?.let { core.orders.add(it, StartTask(p.key, p.attempt)) }
+                    if (!p.deferred) core.machines[p.machine]?.let { core.orders.add(it, StartTask(p.key, p.attempt, StartCause.PLACED)) }
                 }
             }
         }
--- a/src/main/kotlin/glenspool/core/lifecycle/Tending.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Tending.kt
@@ -1,6 +1,8 @@
 package glenspool.core.lifecycle
 
 import glenspool.core.Scheduler
+import glenspool.core.StartCause
+import glenspool.core.StopCause
 import glenspool.core.model.JobKind
 import glenspool.core.model.StartTask
 import glenspool.core.model.StopTask
@@ -27,15 +29,16 @@
                 continue
             }
             if (p.step == Step.ORDERED && p.startSent == null && !p.deferred && now >= m.directRetry && m.orders.none { it.key == p.key && it.attempt == p.attempt }) {
-                core.orders.add(m, StartTask(p.key, p.attempt))
+                core.orders.add(m, StartTask(p.key, p.attempt, StartCause.RETRIED))
             }
             if (p.step == Step.ORDERED && m.loose.any { it.key == p.key } && p.startSent.let { it != null && now - it > 2.seconds }) {
-                core.orders.add(m, StartTask(p.key, p.attempt))
+                core.orders.add(m, StartTask(p.key, p.attempt, StartCause.RETRIED))
                 p.startSent = now
             }
             val sent = p.stopSent
-            if (p.stop != null && p.step != Step.INTENDED && (sent == null || now - sent > maxOf(2.seconds, core.config.report))) {
-                if (p.state != TaskState.SAVING || p.stop == StopReason.CANCELLED) core.orders.add(m, StopTask(p.key, p.attempt, p.stopGrace))
+            val stop = p.stop
+            if (stop != null && p.step != Step.INTENDED && (sent == null || now - sent > maxOf(2.seconds, core.config.report))) {
+                if (p.state != TaskState.SAVING || stop == StopCause.CANCELLED) core.orders.add(m, StopTask(p.key, p.attempt, p.stopGrace, stop))
                 p.stopSent = now
             }
         }
@@ -67,7 +70,7 @@
         if (!started && !stopping && job.placements.values.any { it.state == null || it.state == TaskState.FETCHING }) return
         val grace = if (!missing) job.spec.save + Scheduler.GRACE_SLACK else Duration.ZERO
         for (p in job.placements.values) {
-            if (p.stop == null && p.step != Step.INTENDED) core.stop(p, StopReason.GANG_BROKEN, grace)
+            if (p.stop == null && p.step != Step.INTENDED) core.stop(p, StopCause.GANG_BROKEN, grace)
         }
     }
 }
--- a/src/main/kotlin/glenspool/core/model/Model.kt
+++ b/src/main/kotlin/glenspool/core/model/Model.kt
@@ -1,5 +1,9 @@
 package glenspool.core.model
 
+import glenspool.core.ForgetCause
+import glenspool.core.OrderCause
+import glenspool.core.StartCause
+import glenspool.core.StopCause
 import java.util.BitSet
 import kotlin.time.Duration
 
@@ -155,16 +159,24 @@
 sealed interface Command {
     val key: TaskKey
     val attempt: Long
+    val cause: OrderCause
 }
 
 /** Start the task, unless this attempt is known already. */
-data class StartTask(override val key: TaskKey, override val attempt: Long) : Command
+data class StartTask(override val key: TaskKey, override val attempt: Long, override val cause: StartCause) : Command
 
 /** Stop the task; it may take [grace] to save. */
-data class StopTask(override val key: TaskKey, override val attempt: Long, val grace: Duration) : Command
+data class StopTask(override val key: TaskKey, override val attempt: Long, val grace: Duration, override val cause: StopCause) : Command
 
 /** Forget an ended task, which is no longer reported then. */
-data class ForgetTask(override val key: TaskKey, override val attempt: Long) : Command
+data class ForgetTask(override val key: TaskKey, override val attempt: Long, override val cause: ForgetCause) : Command
+
+/** The command without the difference that its cause makes to controllers alone. */
+fun Command.asWorkersSeeIt(): Command = when (this) {
+    is StartTask -> copy(cause = StartCause.PLACED)
+    is StopTask -> copy(cause = StopCause.CANCELLED)
+    is ForgetTask -> copy(cause = ForgetCause.RECORDED)
+}
 
 /** How far the cloud says a machine has come. */
 enum class MachineStage { BOOTING, RUNNING, FAILED }
--- a/src/main/kotlin/glenspool/core/placement/RoomMaker.kt
+++ b/src/main/kotlin/glenspool/core/placement/RoomMaker.kt
@@ -1,12 +1,12 @@
 package glenspool.core.placement
 
 import glenspool.core.Scheduler
+import glenspool.core.StopCause
 import glenspool.core.cluster.Machine
 import glenspool.core.cluster.zoneAllows
 import glenspool.core.lifecycle.Job
 import glenspool.core.lifecycle.Placement
 import glenspool.core.lifecycle.Step
-import glenspool.core.lifecycle.StopReason
 import glenspool.core.model.Amount
 import glenspool.core.model.JobKind
 import glenspool.core.model.Priority
@@ -121,7 +121,7 @@
     private fun makeRoomOn(m: Machine, job: Job, claimed: HashMap<Machine, Amount>, wanted: Int): Int {
         val type = core.types[m.type] ?: return 0
         var room = m.free(type) - (claimed[m] ?: Amount.ZERO)
-        val stopping = m.placements.values.filter { it.stop != null && it.stop != StopReason.GANG_BROKEN }
+        val stopping = m.placements.values.filter { it.stop != null && it.stop != StopCause.GANG_BROKEN }
         for (p in stopping) room += p.job.need
         var made = 0
         val victims = m.placements.values
@@ -140,7 +140,7 @@
                 if (!job.need.fits(r)) return made
                 for (v in chosen) {
                     val grace = if (job.rank == Priority.CRITICAL) Duration.ZERO else v.job.spec.save + Scheduler.GRACE_SLACK
-                    core.stop(v, StopReason.PREEMPTED, grace)
+                    core.stop(v, StopCause.PREEMPTED, grace)
                 }
                 room = r
             }
--- a/src/test/kotlin/glenspool/api/AdaptersTest.kt
+++ b/src/test/kotlin/glenspool/api/AdaptersTest.kt
@@ -6,6 +6,8 @@
 import glenspool.core.Direct
 import glenspool.core.DirectOutcome
 import glenspool.core.Rent
+import glenspool.core.RentalCause
+import glenspool.core.StartCause
 import glenspool.core.model.StartTask
 import glenspool.core.model.TaskKey
 import glenspool.http.CallResult
@@ -60,7 +62,7 @@
     @Test
     fun `the cloud's answers to a rental are told apart`() {
         val cloud = CloudClient(addr, http, 1000.0)
-        val rent = Rent("r-1-1", "g8", "a", true, 3)
+        val rent = Rent("r-1-1", "g8", "a", true, mapOf(RentalCause.BACKLOG to 3))
         answer = says(200, mapOf("spindles" to listOf("i-1", "i-2")))
         assertEquals(RentOutcome.Rented(listOf("i-1", "i-2")), cloud.rent(rent))
         assertEquals(mapOf("hire" to "r-1-1", "frame" to "g8", "hall" to "a", "loaners" to true, "number" to 3L), seen.last().second)
@@ -98,7 +100,7 @@
     @Test
     fun `a command's outcome is done only with the worker's report`() {
         val worker = WorkerClient(http)
-        val d = Direct("i-1", addr, 4, 2, listOf(StartTask(TaskKey("run-1", 0), 1)))
+        val d = Direct("i-1", addr, 4, 2, listOf(StartTask(TaskKey("run-1", 0), 1, StartCause.PLACED)))
         answer = says(200, report)
         assertEquals(DirectOutcome.DONE, worker.command(d).first)
         assertEquals(4L to 2L, seen.last().second.let { it["baton"] to it["shift"] })
--- a/src/test/kotlin/glenspool/core/CancelledWorkTest.kt
+++ b/src/test/kotlin/glenspool/core/CancelledWorkTest.kt
@@ -67,7 +67,7 @@
         val running = busy(1)
         val (machine, task) = running.entries.single()
         val stops = step { jobCancelled("a", 900, now) }.filterIsInstance<Direct>().flatMap { it.commands }.filterIsInstance<StopTask>()
-        assertEquals(listOf(StopTask(task.key, task.attempt, Duration.ZERO)), stops)
+        assertEquals(listOf(StopTask(task.key, task.attempt, Duration.ZERO, StopCause.CANCELLED)), stops)
         // The state service tells the same later: nothing changes but its version, which a final record is conditioned on.
         assertEquals(emptyList<Direct>(), step { jobCancelled("a", 901, now) }.filterIsInstance<Direct>())
         val after = say(report(machine, listOf(task.copy(state = TaskState.EXITED, exit = Exit.STOPPED)))).second + wait(1.seconds)
--- a/src/test/kotlin/glenspool/core/GuardsTest.kt
+++ b/src/test/kotlin/glenspool/core/GuardsTest.kt
@@ -85,7 +85,7 @@
         val (commands, _) = say(report("m1", listOf(task("a", 0, 1, TaskState.EXITED, Exit.ERROR))))
         assertFalse(commands.any { it is ForgetTask })
         val (later, _) = say(report("m1", listOf(task("a", 0, 1, TaskState.EXITED, Exit.ERROR)), token = TOKEN + 1))
-        assertTrue(later.contains(ForgetTask(TaskKey("a", 0), 1)))
+        assertTrue(later.contains(ForgetTask(TaskKey("a", 0), 1, ForgetCause.NO_RESULT)))
     }
 
     @Test
@@ -100,7 +100,7 @@
         assertTrue(early.isEmpty())
         assertTrue((store(wait(3.seconds)).writes.single() as SaveJob).record.done[0])
         confirm()
-        assertEquals(listOf<Command>(ForgetTask(TaskKey("a", 0), 1)), say(report("m1", done)).first)
+        assertEquals(listOf<Command>(ForgetTask(TaskKey("a", 0), 1, ForgetCause.RECORDED)), say(report("m1", done)).first)
     }
 
     @Test
@@ -134,7 +134,7 @@
         say(report("m1", listOf(task("a", 0, 7, TaskState.RUNNING))))
         submit(job("a"), last = 9)
         val (commands, _) = say(report("m1", listOf(task("a", 0, 7, TaskState.RUNNING))))
-        assertEquals(listOf<Command>(StopTask(TaskKey("a", 0), 7, Duration.ZERO)), commands)
+        assertEquals(listOf<Command>(StopTask(TaskKey("a", 0), 7, Duration.ZERO, StopCause.ORPHANED)), commands)
     }
 
     @Test
