Names of the field in the core: observations, failure detector, command queue, orphans; job cancel

Need: the older names had to be explained (docs/glossary.md). Renamed, with their docs; `job cancel` is the command's word, `withdraw` is still taken. Also hooks for what is attached to a scheduler (off), and a fault mended: a task of a job that the state service had lost did not block its task when the job was submitted again, since it was only counted when its job was known at that moment (GuardsTest, fails without).

--- a/src/main/kotlin/glenspool/cli/JobCommand.kt
+++ b/src/main/kotlin/glenspool/cli/JobCommand.kt
@@ -17,7 +17,7 @@
     private val http = HttpCaller(2.seconds)
 
     fun run(args: List<String>): Int {
-        val verb = args.firstOrNull() ?: throw UsageError("job needs submit, show or withdraw")
+        val verb = args.firstOrNull() ?: throw UsageError("job needs submit, show or cancel")
         val line = DefaultParser().parse(Options().addOption(Option.builder().longOpt("node").hasArg().required().build()), args.drop(1).toTypedArray())
         val node = line.getOptionValue("node")
         if (!Regex("[^:/ ]+:[0-9]{1,5}").matches(node)) throw UsageError("--node needs an address such as 10.0.0.1:8080")
@@ -25,7 +25,7 @@
         return when (verb) {
             "submit" -> answer(http.post(node, "/api/jobs", read(File(what)), TIMEOUT))
             "show" -> answer(http.get(node, "/api/jobs/$what", TIMEOUT))
-            "withdraw" -> answer(http.post(node, "/api/jobs/$what/withdraw", emptyMap(), TIMEOUT))
+            "cancel", "withdraw" -> answer(http.post(node, "/api/jobs/$what/withdraw", emptyMap(), TIMEOUT))
             else -> throw UsageError("unknown job command '$verb'")
         }
     }
--- a/src/main/kotlin/glenspool/cli/Main.kt
+++ b/src/main/kotlin/glenspool/cli/Main.kt
@@ -23,7 +23,7 @@
                                                check a settings file, a tuning script, a rollout policy
   job submit --node ADDR FILE                  submit a job described in a JSON file
   job show --node ADDR ID                      show a job
-  job withdraw --node ADDR ID                  cancel a job
+  job cancel --node ADDR ID                    cancel a job
   rollout status|plan --node ADDR [--json]     how far an upgrade of the controllers is, and what comes next
   rollout watch --node ADDR                    the same, live
   rollout hold|resume --node ADDR              let no level become active; take that back
--- a/src/main/kotlin/glenspool/controller/OverdueWork.kt
+++ b/src/main/kotlin/glenspool/controller/CancelledWorkEnforcement.kt
@@ -23,7 +23,7 @@
  * state says that it was placed: it asks the machines, has the work stopped, and in the end deletes the machine. None of
  * this starts anything, so it needs no leadership; whoever leads next sees machines that are free or gone.
  */
-class OverdueWork(
+class CancelledWorkEnforcement(
     cancel: Duration,
     private val cancellations: Cancellations,
     private val replica: Replica,
@@ -94,7 +94,7 @@
     override fun close() = pool.close()
 
     private companion object {
-        val log = loggerOf(OverdueWork::class.java)
+        val log = loggerOf(CancelledWorkEnforcement::class.java)
         val EVERY = 1.seconds
         const val THREADS = 16
         const val QUEUED = 10_000
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -106,7 +106,7 @@
     private val intake = ReportIntake(pendingReports, leadership::current) { post(Event.Reported(it)) }
 
     /** See [ReportIntake.take]. */
-    fun report(r: Report, answer: (Orders?) -> Unit) = intake.take(r, answer)
+    fun report(r: Report, answer: (WorkerOrders?) -> Unit) = intake.take(r, answer)
 
     /** The duty that answers reports which the core did not get to in time. */
     fun expireReports() {
@@ -233,7 +233,7 @@
         var orders: List<Command> = emptyList()
         try {
             step { orders = reported(pending.report) }
-            pending.complete(Orders(s.scheduler.token, orders))
+            pending.complete(WorkerOrders(s.scheduler.token, orders))
         } finally {
             // A step that failed leaves it unanswered, and nobody else would answer it any more.
             pending.complete(null)
--- a/src/main/kotlin/glenspool/controller/Events.kt
+++ b/src/main/kotlin/glenspool/controller/Events.kt
@@ -14,7 +14,7 @@
 import glenspool.wire.StateWire
 
 /** What worker answers look like: the token they carry and the orders. */
-data class Orders(val token: Long, val commands: List<Command>)
+data class WorkerOrders(val token: Long, val commands: List<Command>)
 
 /** Everything that reaches the core. */
 sealed interface Event {
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -99,7 +99,7 @@
     private val usersDoor: HttpHandler =
         if (rollout == null) userApi else refusalFilter(health::refused).then(fenceFilter(rollout.gate::fence)).then(userApi)
     private val workerApi = WorkerApi(settings, this, loop)
-    private val overdue = OverdueWork(settings.workers.cancel, cancellations, replica, cloud, workers, { leadership.current() != null || leaderToName() != null }, ::wallClock)
+    private val overdue = CancelledWorkEnforcement(settings.workers.cancel, cancellations, replica, cloud, workers, { leadership.current() != null || leaderToName() != null }, ::wallClock)
     private val readiness = AsyncHandler { request, respond -> respond(usersDoor(request)) }
 
     @Volatile
--- a/src/main/kotlin/glenspool/controller/PendingReports.kt
+++ b/src/main/kotlin/glenspool/controller/PendingReports.kt
@@ -12,7 +12,7 @@
  * A worker's report that waits for the core. It is answered once, by whoever is first; the core takes it in even if it was
  * answered before, since it still tells that the machine is alive.
  */
-class PendingReport internal constructor(val report: Report, internal val since: Duration, private val answer: (Orders?) -> Unit) {
+class PendingReport internal constructor(val report: Report, internal val since: Duration, private val answer: (WorkerOrders?) -> Unit) {
     private val answered = AtomicBoolean()
 
     /** The core has taken it in. */
@@ -22,7 +22,7 @@
     internal val isAnswered: Boolean get() = answered.get()
 
     /** Null: this node has no orders to give. False: it was answered before. */
-    fun complete(orders: Orders?): Boolean {
+    fun complete(orders: WorkerOrders?): Boolean {
         if (!answered.compareAndSet(false, true)) return false
         answer(orders)
         return true
@@ -40,7 +40,7 @@
     private val refused = AtomicBoolean()
 
     /** Null: too many wait. */
-    fun add(report: Report, answer: (Orders?) -> Unit): PendingReport? {
+    fun add(report: Report, answer: (WorkerOrders?) -> Unit): PendingReport? {
         if (waiting.incrementAndGet() > MAX_WAITING) {
             waiting.decrementAndGet()
             refused.set(true)
--- a/src/main/kotlin/glenspool/controller/ReportIntake.kt
+++ b/src/main/kotlin/glenspool/controller/ReportIntake.kt
@@ -17,7 +17,7 @@
      * [answer] gets null where there are no orders: this node does not lead, or its core is behind. The worker's lease is then kept like
      * that of a node without a leader, and its next report tells the same. It is called once, by any thread.
      */
-    fun take(report: Report, answer: (Orders?) -> Unit) {
+    fun take(report: Report, answer: (WorkerOrders?) -> Unit) {
         val now = term()
         // A core that is still taking in what is stored would hold all workers for longer than they wait.
         val waits = if (now == null || now != begun) null else pending.add(report, answer)
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -2,12 +2,12 @@
 
 import glenspool.core.StopCause
 import glenspool.core.capacity.Capacity
-import glenspool.core.cluster.Evidence
+import glenspool.core.cluster.Observations
 import glenspool.core.cluster.ImageHints
 import glenspool.core.cluster.Machine
-import glenspool.core.cluster.Orders
+import glenspool.core.cluster.CommandQueue
 import glenspool.core.cluster.Overdue
-import glenspool.core.cluster.Watch
+import glenspool.core.cluster.FailureDetector
 import glenspool.core.lifecycle.Chains
 import glenspool.core.lifecycle.Job
 import glenspool.core.lifecycle.Placement
@@ -65,9 +65,9 @@
 /**
  * The leader's scheduling core: events and the time go in, [Action]s come out. It does no input or output and
  * starts no thread; one thread owns it. It is made anew at each take-over from the stored jobs. What it knows has
- * one owner each: [Evidence], [Orders], [Watch], [Storing], [Tending], [Capacity].
+ * one owner each: [Observations], [CommandQueue], [FailureDetector], [Storing], [Tending], [Capacity].
  */
-class Scheduler(val config: SchedulerConfig, token: Long, val startedAt: Duration) : RoundView {
+class Scheduler(val config: SchedulerConfig, token: Long, val startedAt: Duration, val hooks: SchedulerHooks = SchedulerHooks()) : RoundView {
     var token = token
         private set
 
@@ -103,9 +103,9 @@
     private val actions = ArrayList<Action>()
     private val deleted = HashSet<String>()
     val images = ImageHints(this)
-    val orders = Orders(this)
-    private val evidence = Evidence(this)
-    private val watch = Watch(this)
+    val commands = CommandQueue(this)
+    private val observations = Observations(this)
+    private val failures = FailureDetector(this)
     private val storing = Storing(this)
     val chains = Chains(this)
     private val tending = Tending(this)
@@ -130,9 +130,9 @@
         if (gap > STALL) resumed(gap)
         event()
         if (dirtyRound && now - lastRound >= roundGap || now - lastRound >= config.tuning.roundPeriod) round()
-        orders.flush()
+        commands.flush()
         storing.flush()
-        watch.flush()
+        failures.flush()
         val result = actions.toList()
         actions.clear()
         return result
@@ -162,6 +162,7 @@
         }
         val job = Job(record, version, Shelves(recordRoom(record.spec), config.valueBytes - Shelves.SHELF_MARKS), storing::touched)
         job.seenAt = now
+        hooks.observer.jobRead(record)
         if (record.needs.isNotEmpty()) {
             chains.add(job, record.needs)
             chains.appeared(record.spec.id)
@@ -183,11 +184,29 @@
             job.gangAttempt = job.placements.values.maxOf { it.attempt }
             job.gangStarted = true
         }
+        adoptOrphans(job)
         if (job.complete) job.touch()
         capacity.arrived(job, now)
         dirtyRound = true
     }
 
+    /**
+     * Tasks of the job were on machines before the job was known: it was accepted once, the state service lost it, and its user
+     * submits it again. They block their tasks and count for the team's limit like any other orphan.
+     */
+    private fun adoptOrphans(job: Job) {
+        for (id in unrecorded.remove(job.spec.id).orEmpty()) {
+            val m = machines[id] ?: continue
+            m.orphans.keys.filter { it.job == job.spec.id }.forEach { k ->
+                m.addOrphan(k, job.need, now)
+                countOrphan(job, m, k)
+            }
+        }
+    }
+
+    /** Machines with tasks of jobs that nobody knows, by job. */
+    private val unrecorded = HashMap<String, MutableSet<String>>()
+
     /** An earlier leader may have started it: it stays until the machine's report or its deletion proves it gone. */
     private fun standing(job: Job, i: Intent, shelf: Int) {
         val p = Placement(job, i.task, i.attempt, i.machine, now)
@@ -244,6 +263,7 @@
             return
         }
         job.cancelVersion = version
+        hooks.observer.jobCancelled(id)
         chains.cancelled(id)
         job.cancelledAt = now - maxOf(Duration.ZERO, wall - at)
         for (p in job.placements.values.toList()) {
@@ -255,6 +275,7 @@
     /** The job's record is gone from the live jobs: it has its final state. */
     fun jobGone(id: String) {
         chains.gone(id)
+        hooks.observer.jobEnded(id)
         val job = jobs.remove(id) ?: return
         job.finished = true
         for (p in job.placements.values.toList()) {
@@ -265,14 +286,14 @@
 
     /** A report came by itself; the answer is what the worker shall do. */
     fun reported(r: Report): List<Command> {
-        val m = evidence.observe(r) ?: return emptyList()
-        return if (m.trusted) evidence.routine(m) else emptyList()
+        val m = observations.observe(r, ReportSource.WORKER) ?: return emptyList()
+        return if (m.trusted) observations.routine(m) else emptyList()
     }
 
     fun directEnded(machine: String, sent: Direct, outcome: DirectOutcome, report: Report?) {
         val m = machines[machine] ?: return
-        orders.ended(m, sent, outcome)
-        if (report != null) evidence.observe(report)
+        commands.ended(m, sent, outcome)
+        if (report != null) observations.observe(report, ReportSource.DIRECT)
     }
 
     /** [asked]: false if the question was never sent, which says nothing of the machine. */
@@ -283,9 +304,9 @@
             return
         }
         known?.reached(now)
-        val m = evidence.observe(report) ?: return
+        val m = observations.observe(report, ReportSource.DIRECT) ?: return
         // A worker that reports to another node learns of this leader's token here.
-        if (m.token < token && !m.directBusy && !m.deleting) orders.send(m, emptyList())
+        if (m.token < token && !m.directBusy && !m.deleting) commands.send(m, emptyList())
     }
 
     /** How long what is handled now has waited in this process. */
@@ -312,6 +333,7 @@
     fun resumed(gap: Duration) {
         for (m in machines.values) {
             m.heard = m.heard?.let { minOf(now, it + gap) }
+            m.reportedAt = m.reportedAt?.let { minOf(now, it + gap) }
             m.mutedSince = m.mutedSince?.let { minOf(now, it + gap) }
         }
     }
@@ -339,13 +361,14 @@
             if (!m.everHeard) m.booting = l.stage == MachineStage.BOOTING
             if (l.stage == MachineStage.FAILED && !m.failed) {
                 m.failed = true
-                watch.delete(m, DeletionCause.FAILED)
+                failures.delete(m, DeletionCause.FAILED)
             }
         }
         for (m in machines.values) {
             if (m.id !in seen && m.missingSince == null) m.missingSince = now
         }
         recomputeCommonType()
+        hooks.observer.machinesListed(list, now)
         dirtyRound = true
     }
 
@@ -372,8 +395,9 @@
             // The cloud's 200 is proof: the machine and all that was on it are gone.
             deleted.add(id)
             fleet.remove(id)
-            for (p in m.placements.values.toList()) evidence.gone(p, m, null)
-            for (k in m.strays.keys.toList()) dropStray(m, k, m.strays.getValue(k))
+            hooks.observer.machineDeleted(id)
+            for (p in m.placements.values.toList()) observations.gone(p, m, null)
+            for (k in m.orphans.keys.toList()) dropOrphan(m, k, m.orphans.getValue(k))
         }
         dirtyRound = true
     }
@@ -392,14 +416,14 @@
      * already does, sees machines that are gone. It costs what else is on them, so only the last moment justifies it, and
      * only if the machine itself does not say that the work is gone.
      */
-    fun overdue(at: Duration): List<Overdue> = watch.overdue(at)
+    fun overdue(at: Duration): List<Overdue> = failures.overdue(at)
 
     fun stored(outcome: StoreOutcome) = storing.ended(outcome)
 
     fun tick() {
-        watch.look()
+        failures.look()
         for (j in jobs.values.toList()) tending.tend(j)
-        if (orders.hasStaleStart()) raiseToken()
+        if (commands.hasStaleStart()) raiseToken()
         capacity.tick(now)
         chains.ask(now)
         images.save(now)
@@ -408,19 +432,29 @@
 
     // ---- what the parts share ----
 
-    fun dropStray(m: Machine, k: TaskKey, a: Amount) {
-        m.removeStray(k)
+    fun dropOrphan(m: Machine, k: TaskKey, a: Amount) {
+        m.removeOrphan(k)
+        unrecorded[k.job]?.let { on ->
+            on.remove(m.id)
+            if (on.isEmpty()) unrecorded.remove(k.job)
+        }
         val job = jobs[k.job] ?: return
-        val set = job.strays[k] ?: return
+        val set = job.orphans[k] ?: return
         if (set.remove(m.id)) usage.merge(job.spec.team, Amount.ZERO - a) { x, y -> x + y }
-        if (set.isEmpty()) job.strays.remove(k)
+        if (set.isEmpty()) job.orphans.remove(k)
         job.touch()
         dirtyRound = true
     }
 
+    /** A task without a place of ours that was not known before. */
+    fun orphanFound(m: Machine, k: TaskKey) {
+        val job = jobs[k.job]
+        if (job != null) countOrphan(job, m, k) else unrecorded.getOrPut(k.job) { HashSet() }.add(m.id)
+    }
+
     /** A task without a place of ours counts for its team's limit until it is gone. */
-    fun countStray(job: Job, m: Machine, k: TaskKey) {
-        if (job.strays.getOrPut(k) { HashSet() }.add(m.id)) usage.merge(job.spec.team, job.need) { x, y -> x + y }
+    private fun countOrphan(job: Job, m: Machine, k: TaskKey) {
+        if (job.orphans.getOrPut(k) { HashSet() }.add(m.id)) usage.merge(job.spec.team, job.need) { x, y -> x + y }
     }
 
     fun drop(p: Placement) {
@@ -445,9 +479,9 @@
         if (important || config.notes) actions.add(Note(text(), important))
     }
 
-    fun stop(p: Placement, cause: StopCause, grace: Duration) = orders.stop(p, cause, grace)
+    fun stop(p: Placement, cause: StopCause, grace: Duration) = commands.stop(p, cause, grace)
 
-    fun returnMachine(m: Machine) = watch.delete(m, DeletionCause.NOT_NEEDED)
+    fun returnMachine(m: Machine) = failures.delete(m, DeletionCause.NOT_NEEDED)
 
     fun rent(r: Rent) {
         r.causes.forEach { (cause, number) -> counts.add(cause, number) }
@@ -469,7 +503,7 @@
         if (types.isEmpty()) return
         val open = jobs.values.filter { it.waitingCount() > 0 && it.notBefore.let { b -> b == null || now >= b } && it.waiting(1).isNotEmpty() }
         if (open.isNotEmpty()) {
-            val ready = machines.values.filter { it.ready(now, freshness) && it.type in types }
+            val ready = machines.values.filter { it.ready(now, freshness) && it.type in types && fitForNewWork(it) }
             if (ready.isNotEmpty()) {
                 rooms.clearCached(open, ready)
                 Round(this, ready, open.filterNot { rooms.waitsForRoom(it, ready) }).run { now - it.seenAt > config.tuning.gangWaitBound }
@@ -479,6 +513,9 @@
         capacity.plan(now)
     }
 
+    /** See [SchedulerHooks.newWorkNeedsOwnReport]. */
+    private fun fitForNewWork(m: Machine): Boolean = !hooks.newWorkNeedsOwnReport || m.reportedAt.let { it != null && now - it <= freshness }
+
     /** How long a fetch of the job's image usually takes. */
     fun fetchTime(job: Job): Duration = (job.spec.imageGb / (commonType?.fetchGbPerS ?: 1.0).coerceAtLeast(0.01)).seconds
 
@@ -513,7 +550,7 @@
         return (team.cpus <= 0.0 || used.cpus <= team.cpus + Amount.EPS) && (team.gpus <= 0.0 || used.gpus <= team.gpus + Amount.EPS)
     }
 
-    override fun fastestType(jobClass: String): String? = evidence.fastestType(jobClass)
+    override fun fastestType(jobClass: String): String? = observations.fastestType(jobClass)
 
     override fun place(job: Job, task: Int, machine: Machine, attempt: Long?) {
         val a = attempt ?: ++job.lastAttempt
--- a/src/main/kotlin/glenspool/core/capacity/Capacity.kt
+++ b/src/main/kotlin/glenspool/core/capacity/Capacity.kt
@@ -1,5 +1,6 @@
 package glenspool.core.capacity
 
+import glenspool.core.ProposedOrder
 import glenspool.core.Rent
 import glenspool.core.RentalCause
 import glenspool.core.Scheduler
@@ -242,7 +243,7 @@
         }
         val since = surplusSince ?: now.also { surplusSince = now }
         if (now - since < SURPLUS_WAIT) return
-        val candidates = active.filter { m -> m.placements.values.all { it.job.spec.kind == JobKind.ARRAY } && m.strays.isEmpty() }
+        val candidates = active.filter { m -> m.placements.values.all { it.job.spec.kind == JobKind.ARRAY } && m.orphans.isEmpty() }
             .sortedWith(compareByDescending<Machine> { price(it) }.thenBy { share(it) })
         // As many at a time as the fleet is large, so that a large one shrinks as fast as a small one.
         var left = maxOf(1, active.size / RETIRE_SHARE)
@@ -348,7 +349,8 @@
         for ((offer, list) in paper.virtual.filter { it.wantedFor != null }.groupBy { it.offer }) {
             if (open.size >= MAX_OPEN) return
             // The token is this leadership's alone, so the name is never used again by anybody.
-            val causes = list.take(MAX_RENT).mapNotNull { it.wantedFor }.groupingBy { it }.eachCount()
+            val causes = list.take(MAX_RENT).mapNotNull { it.wantedFor }.takeWhile { core.hooks.gate.admits(ProposedOrder(it)) }.groupingBy { it }.eachCount()
+            if (causes.isEmpty()) continue
             val r = Rent("r-${core.token}-${++serial}", offer.type, offer.zone, offer.spot, causes)
             open[r.request] = r
             core.rent(r)
--- a/src/main/kotlin/glenspool/core/cluster/Orders.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CommandQueue.kt
@@ -2,6 +2,7 @@
 
 import glenspool.core.Direct
 import glenspool.core.DirectOutcome
+import glenspool.core.ProposedOrder
 import glenspool.core.Scheduler
 import glenspool.core.StopCause
 import glenspool.core.lifecycle.Placement
@@ -15,7 +16,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Commands on their way to machines: one request to a machine at a time, and only machines with commands are looked at. */
-class Orders(private val core: Scheduler) {
+class CommandQueue(private val core: Scheduler) {
     private val pending = LinkedHashSet<Machine>()
 
     /** Machines with a start that may still be carried out. */
@@ -49,24 +50,35 @@
                 continue
             }
             if (m.directBusy || m.addr.isEmpty() || !m.trusted || core.now < m.directRetry) continue
-            each.remove()
-            val commands = m.orders.filter { c ->
-                val p = m.placements[c.key]
-                c !is StartTask || (p != null && p.attempt == c.attempt && p.step != Step.INTENDED && p.stop == null)
-            }.distinctBy { it.asWorkersSeeIt() }
-            m.orders.clear()
-            if (commands.isEmpty()) continue
-            for (c in commands) {
-                if (c is StartTask) {
-                    m.loose.add(LooseStart(c.key, c.attempt, core.token, m.session, core.now))
-                    loose.add(m)
-                    m.placements[c.key]?.startSent = core.now
-                }
-            }
-            send(m, commands)
+            val commands = takeCommands(m)
+            // What is held back goes out as soon as it may.
+            if (m.orders.isEmpty()) each.remove()
+            if (commands.isNotEmpty()) send(m, commands)
         }
     }
 
+    /** The machine's commands that are still wanted and may be sent now; starts that have to wait stay with it. */
+    private fun takeCommands(m: Machine): List<Command> {
+        val (admitted, held) = m.orders.filter { stillWanted(m, it) }.distinctBy { it.asWorkersSeeIt() }
+            .partition { it !is StartTask || core.hooks.gate.admits(ProposedOrder(it.cause, m.id, it.key)) }
+        m.orders.clear()
+        m.orders.addAll(held)
+        admitted.filterIsInstance<StartTask>().forEach { started(m, it) }
+        return admitted
+    }
+
+    private fun stillWanted(m: Machine, c: Command): Boolean {
+        if (c !is StartTask) return true
+        val p = m.placements[c.key]
+        return p != null && p.attempt == c.attempt && p.step != Step.INTENDED && p.stop == null
+    }
+
+    private fun started(m: Machine, c: StartTask) {
+        m.loose.add(LooseStart(c.key, c.attempt, core.token, m.session, core.now))
+        loose.add(m)
+        m.placements[c.key]?.startSent = core.now
+    }
+
     fun send(m: Machine, commands: List<Command>) {
         m.directAt = core.now
         m.directBusy = true
--- a/src/main/kotlin/glenspool/core/cluster/Watch.kt
+++ b/src/main/kotlin/glenspool/core/cluster/FailureDetector.kt
@@ -3,6 +3,7 @@
 import glenspool.core.Delete
 import glenspool.core.DeletionCause
 import glenspool.core.Probe
+import glenspool.core.ProposedOrder
 import glenspool.core.Resign
 import glenspool.core.Scheduler
 import glenspool.core.StopCause
@@ -20,7 +21,7 @@
  * Gives machines up that can't be heard or reached, and the leadership if that is our own fault. A machine is only
  * ever given up by deletion: neither silence nor time proves what is on it.
  */
-class Watch(private val core: Scheduler) {
+class FailureDetector(private val core: Scheduler) {
     private val config get() = core.config
     private val now: Duration get() = core.now
     private val silence: Duration get() = maxOf(config.lease * config.tuning.silenceShare, config.report * 2.5)
@@ -140,7 +141,7 @@
      * stopping it takes a moment. A new leader gets that moment before it judges.
      */
     private fun cancelledTooLong(m: Machine): Boolean {
-        if (now - core.startedAt > STOP_TIME && m.straySince.let { it != null && now - it > config.cancel * 0.6 }) return true
+        if (now - core.startedAt > STOP_TIME && m.orphanSince.let { it != null && now - it > config.cancel * 0.6 }) return true
         val since = now - (cancelledSince(m) ?: return false)
         return since > config.cancel * 0.6 && now - core.startedAt > STOP_TIME || since > config.cancel * 0.8
     }
@@ -150,11 +151,11 @@
         // Asked of every machine in every tick: it makes no lists.
         var due: Duration? = null
         for (p in m.placements.values) p.job.cancelledAt?.let { c -> due = minOf(due ?: c, c) }
-        for (k in m.strays.keys) core.jobs[k.job]?.cancelledAt?.let { c -> due = minOf(due ?: c, c) }
+        for (k in m.orphans.keys) core.jobs[k.job]?.cancelledAt?.let { c -> due = minOf(due ?: c, c) }
         return due
     }
 
-    private fun cancelledOn(m: Machine): List<Job> = (m.placements.values.map { it.job } + m.strays.keys.mapNotNull { core.jobs[it.job] }).filter { it.cancelledAt != null }
+    private fun cancelledOn(m: Machine): List<Job> = (m.placements.values.map { it.job } + m.orphans.keys.mapNotNull { core.jobs[it.job] }).filter { it.cancelledAt != null }
 
     private val overdueAskedAt = HashMap<String, Duration>()
 
@@ -217,8 +218,9 @@
         }
     }
 
+    /** Gives the machine up, unless that has to wait. */
     fun delete(m: Machine, cause: DeletionCause) {
-        if (m.deleting) return
+        if (m.deleting || cause in deferrable && !core.hooks.gate.admits(ProposedOrder(cause, m.id))) return
         core.note(important = true) { "give-up machine=${m.id} reason=${cause.label} tasks=${m.placements.size} heard=${m.heard} now=$now" }
         m.deletion = cause
         m.orders.clear()
@@ -245,6 +247,9 @@
 
     private companion object {
         const val DEAF_MACHINES = 3
+
+        /** Neither a promise about cancelled work nor certain knowledge is behind these. */
+        val deferrable = setOf(DeletionCause.NEVER_CAME_UP, DeletionCause.UNREACHABLE, DeletionCause.SILENT, DeletionCause.NOT_NEEDED)
         const val MAX_CONTROLS = 6
         const val PROBES = 4
         const val FLEET_PER_PROBE = 100
--- a/src/main/kotlin/glenspool/core/cluster/Machine.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Machine.kt
@@ -30,6 +30,9 @@
     var heard: Duration? = null
     var notice: Duration? = null
 
+    /** When its worker last sent a report by itself. Null: not in this term. */
+    var reportedAt: Duration? = null
+
     /** True once a report under the current leader's token has shown what is on the machine. */
     var trusted = false
     var listed = false
@@ -70,16 +73,16 @@
     var age: Duration = Duration.ZERO
 
     private val placed = LinkedHashMap<TaskKey, Placement>()
-    private val strayTasks = HashMap<TaskKey, Amount>()
+    private val orphanTasks = HashMap<TaskKey, Amount>()
 
-    /** What the placements and strays take; null after a change, since rounds ask far more often than it changes. */
+    /** What the placements and orphans take; null after a change, since rounds ask far more often than it changes. */
     private var usedNow: Amount? = null
     private var servicesNow = 0
     val placements: Map<TaskKey, Placement> get() = placed
-    val strays: Map<TaskKey, Amount> get() = strayTasks
+    val orphans: Map<TaskKey, Amount> get() = orphanTasks
 
     /** Since when tasks without a place have been here. */
-    var straySince: Duration? = null
+    var orphanSince: Duration? = null
     var reported: List<ReportedTask> = emptyList()
     val loose = ArrayList<LooseStart>()
     val orders = ArrayList<Command>()
@@ -134,16 +137,16 @@
         usedNow = null
     }
 
-    /** True if the stray was not known before. */
-    fun addStray(k: TaskKey, a: Amount, now: Duration): Boolean {
-        if (straySince == null) straySince = now
+    /** True if the orphan was not known before. */
+    fun addOrphan(k: TaskKey, a: Amount, now: Duration): Boolean {
+        if (orphanSince == null) orphanSince = now
         usedNow = null
-        return strayTasks.put(k, a) == null
+        return orphanTasks.put(k, a) == null
     }
 
-    fun removeStray(k: TaskKey) {
-        strayTasks.remove(k)
-        if (strayTasks.isEmpty()) straySince = null
+    fun removeOrphan(k: TaskKey) {
+        orphanTasks.remove(k)
+        if (orphanTasks.isEmpty()) orphanSince = null
         usedNow = null
     }
 
@@ -154,7 +157,7 @@
     fun used(): Amount = usedNow ?: run {
         var sum = Amount.ZERO
         for (p in placed.values) sum += p.job.need
-        for (a in strayTasks.values) sum += a
+        for (a in orphanTasks.values) sum += a
         sum.also { usedNow = it }
     }
 
@@ -188,7 +191,7 @@
         return trusted && !deleting && !failed && notice == null && mutedSince == null && now - h <= freshness && (bad == null || now >= bad)
     }
 
-    fun busyTasks(): Int = placed.size + strayTasks.size
+    fun busyTasks(): Int = placed.size + orphanTasks.size
 
     private companion object {
         val RESERVED = 10.seconds
@@ -201,7 +204,7 @@
 
 /**
  * Whether one more task of the job may be in the zone, counting every task that is or may be somewhere.
- * Placements and strays both count, since neither is proved gone.
+ * Placements and orphans both count, since neither is proved gone.
  */
 fun zoneAllows(job: Job, zone: String, zoneOf: (String) -> String?): Boolean {
     if (!job.spec.sameZone && !job.spec.spread) return true
@@ -212,7 +215,7 @@
         // A machine whose zone is not known yet could be anywhere: count it against every zone.
         if (z == null || z == zone) inZone++
     }
-    for (machines in job.strays.values) {
+    for (machines in job.orphans.values) {
         for (id in machines) {
             val z = zoneOf(id)
             if (job.spec.sameZone && z != zone) return false
--- a/src/main/kotlin/glenspool/core/cluster/Evidence.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Observations.kt
@@ -1,6 +1,8 @@
 package glenspool.core.cluster
 
 import glenspool.core.ForgetCause
+import glenspool.core.ProposedOrder
+import glenspool.core.ReportSource
 import glenspool.core.Scheduler
 import glenspool.core.StopCause
 import glenspool.core.lifecycle.Job
@@ -20,7 +22,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** What reports prove, and what they do not: which tasks are on a machine, which are surely gone, which are done. */
-class Evidence(private val core: Scheduler) {
+class Observations(private val core: Scheduler) {
     private val startToken = core.token
     private val now: Duration get() = core.now
     private val typeRuns = HashMap<String, HashMap<String, Double>>()
@@ -28,7 +30,7 @@
     fun fastestType(jobClass: String): String? = typeRuns[jobClass]?.minByOrNull { it.value }?.key
 
     /** Takes a report in if it is newer than what is known. Null: it is old, or a copy. */
-    fun observe(r: Report): Machine? {
+    fun observe(r: Report, source: ReportSource): Machine? {
         // A copy of a report may come long after the machine was deleted: it is not back.
         if (core.wasDeleted(r.machine)) return null
         val known = core.machines[r.machine]
@@ -52,6 +54,7 @@
         if (r.token > m.token && r.token >= core.token) m.reached(now)
         m.token = maxOf(m.token, r.token)
         m.heard = now
+        if (source == ReportSource.WORKER) m.reportedAt = now
         m.notice = r.notice
         m.reported = r.tasks
         // Until the worker has seen this leader's token, commands of an earlier leader may still be carried out:
@@ -60,14 +63,15 @@
         val trusted = r.token >= startToken
         if (trusted && !m.trusted) core.wantRound()
         m.trusted = trusted
+        core.hooks.observer.machineObserved(r, source, trusted, now)
         digest(m, r)
         return m
     }
 
     private fun digest(m: Machine, r: Report) {
-        if (r.tasks.isEmpty() && m.placements.isEmpty() && m.strays.isEmpty()) return
+        if (r.tasks.isEmpty() && m.placements.isEmpty() && m.orphans.isEmpty()) return
         val present = HashSet<TaskKey>()
-        val strayNow = HashMap<TaskKey, Amount>()
+        val orphanNow = HashMap<TaskKey, Amount>()
         for (t in r.tasks) {
             val job = core.jobs[t.key.job]
             val p = m.placements[t.key]?.takeIf { it.attempt == t.attempt }
@@ -79,7 +83,7 @@
                 present.add(t.key)
                 progress(m, p, t)
             } else {
-                strayNow[t.key] = job?.need ?: Amount.ZERO
+                orphanNow[t.key] = job?.need ?: Amount.ZERO
             }
         }
         if (m.trusted) {
@@ -89,9 +93,9 @@
                 gone(p, m, null)
             }
         }
-        if (m.strays.isEmpty() && strayNow.isEmpty()) return
-        for ((k, a) in m.strays.entries.toList()) if (k !in strayNow) core.dropStray(m, k, a)
-        for ((k, a) in strayNow) if (m.addStray(k, a, now)) core.jobs[k.job]?.let { core.countStray(it, m, k) }
+        if (m.orphans.isEmpty() && orphanNow.isEmpty()) return
+        for ((k, a) in m.orphans.entries.toList()) if (k !in orphanNow) core.dropOrphan(m, k, a)
+        for ((k, a) in orphanNow) if (m.addOrphan(k, a, now)) core.orphanFound(m, k)
     }
 
     private fun progress(m: Machine, p: Placement, t: ReportedTask) {
@@ -179,7 +183,8 @@
                 if (t.exit == Exit.DONE && job != null && !job.finished && job.spec.kind != JobKind.SERVICE && !job.storedDone[t.key.task]) continue
                 result.add(ForgetTask(t.key, t.attempt, if (t.exit == Exit.DONE && job != null) ForgetCause.RECORDED else ForgetCause.NO_RESULT))
             } else if (p == null) {
-                result.add(StopTask(t.key, t.attempt, Duration.ZERO, orphanCause(job)))
+                val cause = orphanCause(job)
+                if (mayStopOrphan(m, t.key, cause)) result.add(StopTask(t.key, t.attempt, Duration.ZERO, cause))
             } else {
                 repeatedStop(p, t)?.let(result::add)
             }
@@ -188,6 +193,9 @@
         return result
     }
 
+    private fun mayStopOrphan(m: Machine, key: TaskKey, cause: StopCause): Boolean =
+        cause == StopCause.CANCELLED || core.hooks.gate.admits(ProposedOrder(cause, m.id, key))
+
     private fun orphanCause(job: Job?): StopCause = when {
         job == null -> StopCause.UNRECORDED
         job.cancelled -> StopCause.CANCELLED
--- a/src/main/kotlin/glenspool/core/lifecycle/Job.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Job.kt
@@ -99,7 +99,7 @@
     var storeAfter: Duration = Duration.ZERO
 
     /** Tasks that are on machines without a placement of ours (an earlier leader's remains). */
-    val strays = HashMap<TaskKey, MutableSet<String>>()
+    val orphans = HashMap<TaskKey, MutableSet<String>>()
     val failedOn = LinkedHashSet<String>()
     var notBefore: Duration? = null
 
@@ -171,7 +171,7 @@
         val result = ArrayList<Int>(minOf(limit, 16))
         var t = done.nextClearBit(0)
         while (t < spec.tasks && result.size < limit) {
-            if (!placed.containsKey(t) && (strays.isEmpty() || TaskKey(spec.id, t) !in strays)) result.add(t)
+            if (!placed.containsKey(t) && (orphans.isEmpty() || TaskKey(spec.id, t) !in orphans)) result.add(t)
             t = done.nextClearBit(t + 1)
         }
         return result
--- a/src/main/kotlin/glenspool/core/lifecycle/Storing.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Storing.kt
@@ -137,6 +137,7 @@
         when (w) {
             is FinishJob -> core.jobGone(job.spec.id)
             is SaveJob -> {
+                core.hooks.observer.jobStored(w.record)
                 if (w.whole) job.saved = w.change else job.soft(core.now)
                 job.shelves.stored(w.shelves)
                 job.markStored(w)
@@ -148,13 +149,13 @@
                         continue
                     }
                     p.step = Step.ORDERED
-                    if (!p.deferred) core.machines[p.machine]?.let { core.orders.add(it, StartTask(p.key, p.attempt, StartCause.PLACED)) }
+                    if (!p.deferred) core.machines[p.machine]?.let { core.commands.add(it, StartTask(p.key, p.attempt, StartCause.PLACED)) }
                 }
             }
         }
     }
 
-    private fun finishable(job: Job): Boolean = job.cutBy != null || (job.cancelled && job.placements.isEmpty() && job.strays.isEmpty()) || job.complete
+    private fun finishable(job: Job): Boolean = job.cutBy != null || (job.cancelled && job.placements.isEmpty() && job.orphans.isEmpty()) || job.complete
 
     private fun writeFor(job: Job): JobWrite {
         if (job.complete && !job.cancelled) return FinishJob(job.spec.id, job.version, null, job.spec.tasks)
--- a/src/main/kotlin/glenspool/core/lifecycle/Tending.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Tending.kt
@@ -29,16 +29,16 @@
                 continue
             }
             if (p.step == Step.ORDERED && p.startSent == null && !p.deferred && now >= m.directRetry && m.orders.none { it.key == p.key && it.attempt == p.attempt }) {
-                core.orders.add(m, StartTask(p.key, p.attempt, StartCause.RETRIED))
+                core.commands.add(m, StartTask(p.key, p.attempt, StartCause.RETRIED))
             }
             if (p.step == Step.ORDERED && m.loose.any { it.key == p.key } && p.startSent.let { it != null && now - it > 2.seconds }) {
-                core.orders.add(m, StartTask(p.key, p.attempt, StartCause.RETRIED))
+                core.commands.add(m, StartTask(p.key, p.attempt, StartCause.RETRIED))
                 p.startSent = now
             }
             val sent = p.stopSent
             val stop = p.stop
             if (stop != null && p.step != Step.INTENDED && (sent == null || now - sent > maxOf(2.seconds, core.config.report))) {
-                if (p.state != TaskState.SAVING || stop == StopCause.CANCELLED) core.orders.add(m, StopTask(p.key, p.attempt, p.stopGrace, stop))
+                if (p.state != TaskState.SAVING || stop == StopCause.CANCELLED) core.commands.add(m, StopTask(p.key, p.attempt, p.stopGrace, stop))
                 p.stopSent = now
             }
         }
--- /dev/null
+++ b/src/main/kotlin/glenspool/reconcile/DifferenceTracker.kt
@@ -0,0 +1,113 @@
+package glenspool.reconcile
+
+import glenspool.core.ReportSource
+import glenspool.core.model.JobRecord
+import glenspool.core.model.ListedMachine
+import glenspool.core.model.Report
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlin.time.Duration
+
+/** How many differences there are of each kind, and how much of what was adopted is confirmed. */
+data class DifferenceTotals(val byKind: Map<DifferenceKind, Int>, val confirmed: Int, val adopted: Int) {
+    operator fun get(kind: DifferenceKind): Int = byKind[kind] ?: 0
+}
+
+/**
+ * Keeps the views and what comparing them shows, event by event: only machines that an event concerns are compared again. The
+ * result always equals [MachineComparison.all] of the views.
+ */
+class DifferenceTracker {
+    var views = ClusterViews()
+        private set
+    var findings: PersistentMap<String, MachineFindings> = persistentHashMapOf()
+        private set
+    private val counts = IntArray(DifferenceKind.entries.size)
+    private var confirmed = 0
+    private var adopted = 0
+
+    /** Machines that were compared, so that tests can see that the work of an event does not grow with the fleet. */
+    var comparisons = 0L
+        private set
+
+    fun totals() = DifferenceTotals(DifferenceKind.entries.filter { counts[it.ordinal] > 0 }.associateWith { counts[it.ordinal] }, confirmed, adopted)
+
+    fun jobStored(record: JobRecord, adopted: Boolean) = changeJob(record.spec.id) { it.with(record, adopted) }
+
+    fun jobCancelled(job: String) = changeJob(job) { it.withCancelled(job) }
+
+    fun jobEnded(job: String) = changeJob(job) { it.without(job) }
+
+    fun machineObserved(report: Report, source: ReportSource, trusted: Boolean, at: Duration) {
+        val before = views.observed.machines[report.machine]
+        val sharedBefore = sharing(before)
+        views = views.copy(observed = views.observed.with(report, source, trusted, at))
+        val now = views.observed.machines[report.machine]
+        index(before, now)
+        compareAll(sharedBefore + sharing(now) + report.machine)
+    }
+
+    fun machinesListed(machines: List<ListedMachine>, at: Duration) {
+        val before = views.rented
+        views = views.copy(rented = before.with(machines, at))
+        // The first list tells of machines that are named by it and of those that it does not name.
+        if (before.firstReadAt == null) return compareAll(views.machines())
+        compareAll(views.rented.machines.filter { (id, machine) -> before.machines[id] != machine }.keys)
+    }
+
+    fun machineDeleted(machine: String) {
+        val before = views.observed.machines[machine]
+        val shared = sharing(before)
+        index(before, null)
+        views = views.copy(observed = views.observed.without(machine), rented = views.rented.without(machine))
+        compareAll(shared + machine)
+    }
+
+    private fun changeJob(job: String, change: (DesiredView) -> DesiredView) {
+        val before = machinesOf(job)
+        views = views.copy(desired = change(views.desired))
+        compareAll(before + machinesOf(job))
+    }
+
+    /** Machines that have a stored place of the job, or show a task of it. */
+    private fun machinesOf(job: String): Set<String> {
+        val known = views.desired.jobs[job]
+        val places = known?.places?.values.orEmpty()
+        return places.mapTo(HashSet()) { it.machine } + showing(job)
+    }
+
+    private fun showing(job: String): Set<String> = machinesShowing[job].orEmpty()
+
+    /** Machines whose newest report names a task of the job. */
+    private val machinesShowing = HashMap<String, MutableSet<String>>()
+
+    private fun index(before: ObservedMachine?, now: ObservedMachine?) {
+        val old = before?.tasks.orEmpty().mapTo(HashSet()) { it.key.job }
+        val new = now?.tasks.orEmpty().mapTo(HashSet()) { it.key.job }
+        for (job in old - new) {
+            val machines = machinesShowing[job] ?: continue
+            machines.remove(checkNotNull(before).id)
+            if (machines.isEmpty()) machinesShowing.remove(job)
+        }
+        for (job in new - old) machinesShowing.getOrPut(job) { HashSet() }.add(checkNotNull(now).id)
+    }
+
+    /** Other machines that claim a task that this one shows. */
+    private fun sharing(machine: ObservedMachine?): Set<String> = machine?.present.orEmpty().flatMapTo(HashSet()) { views.observed.claims[it.key].orEmpty() }
+
+    private fun compareAll(machines: Set<String>) = machines.forEach(::compare)
+
+    private fun compare(machine: String) {
+        comparisons++
+        count(findings[machine] ?: MachineFindings.NONE, -1)
+        val fresh = MachineComparison.compare(machine, views)
+        findings = if (fresh.isEmpty) findings.remove(machine) else findings.put(machine, fresh)
+        count(fresh, 1)
+    }
+
+    private fun count(found: MachineFindings, sign: Int) {
+        found.differences.forEach { counts[it.kind.ordinal] += sign }
+        confirmed += found.confirmed * sign
+        adopted += found.adopted * sign
+    }
+}
--- a/src/test/kotlin/glenspool/cli/CommandLineTest.kt
+++ b/src/test/kotlin/glenspool/cli/CommandLineTest.kt
@@ -94,11 +94,14 @@
             val addr = "127.0.0.1:${node.port}"
             val file = File(dir, "job.json").also { it.writeText("""{"uid":"run-1"}""") }
             assertEquals("""{"stage":"pending"}""", run("job", "submit", "--node", addr, file.path).out.trim())
+            assertEquals(0, run("job", "cancel", "--node", addr, "run-1").code)
+            // The word of earlier versions.
             assertEquals(0, run("job", "withdraw", "--node", addr, "run-1").code)
             val unknown = run("job", "show", "--node", addr, "nobody")
             assertEquals(1, unknown.code)
             assertTrue(unknown.err.contains("404"))
         }
-        assertEquals(listOf("POST /api/jobs", "POST /api/jobs/run-1/withdraw", "GET /api/jobs/nobody"), seen)
+        val cancel = "POST /api/jobs/run-1/withdraw"
+        assertEquals(listOf("POST /api/jobs", cancel, cancel, "GET /api/jobs/nobody"), seen)
     }
 }
--- a/src/test/kotlin/glenspool/controller/LargeIntakeTest.kt
+++ b/src/test/kotlin/glenspool/controller/LargeIntakeTest.kt
@@ -40,7 +40,7 @@
 
     private fun takeIn(report: PendingReport) {
         pending.take(report)
-        report.complete(Orders(1, emptyList()))
+        report.complete(WorkerOrders(1, emptyList()))
     }
 
     @Test
--- a/src/test/kotlin/glenspool/controller/PendingReportsTest.kt
+++ b/src/test/kotlin/glenspool/controller/PendingReportsTest.kt
@@ -13,8 +13,8 @@
 class PendingReportsTest {
     private var now = Duration.ZERO
     private val reports = PendingReports { now }
-    private val answers = ArrayList<Pair<String, Orders?>>()
-    private val orders = Orders(3, emptyList())
+    private val answers = ArrayList<Pair<String, WorkerOrders?>>()
+    private val orders = WorkerOrders(3, emptyList())
 
     private fun add(machine: String) = reports.add(Report(machine, "$machine:1", "any", "here", false, 1, 1, 3, null, emptyList())) { answers.add(machine to it) }
 
@@ -39,10 +39,10 @@
         now += PendingReports.PATIENCE - 1.milliseconds
         val newer = add("newer")
         reports.expire()
-        assertEquals(emptyList<Pair<String, Orders?>>(), answers)
+        assertEquals(emptyList<Pair<String, WorkerOrders?>>(), answers)
         now += 1.milliseconds
         reports.expire()
-        assertEquals(listOf<Pair<String, Orders?>>("late" to null), answers)
+        assertEquals(listOf<Pair<String, WorkerOrders?>>("late" to null), answers)
         assertEquals(false, late?.complete(orders))
         assertEquals(true, newer?.complete(orders))
         assertEquals(listOf("late" to null, "newer" to orders), answers)
@@ -54,11 +54,11 @@
         now += PendingReports.PATIENCE
         reports.expire()
         reports.expire()
-        assertEquals(listOf<Pair<String, Orders?>>("first" to null), answers)
+        assertEquals(listOf<Pair<String, WorkerOrders?>>("first" to null), answers)
         assertEquals(PendingReports.PATIENCE, reports.backlog())
         first?.let { take(it) }
         assertEquals(Duration.ZERO, reports.backlog())
-        assertEquals(listOf<Pair<String, Orders?>>("first" to null), answers)
+        assertEquals(listOf<Pair<String, WorkerOrders?>>("first" to null), answers)
     }
 
     @Test
--- a/src/test/kotlin/glenspool/controller/ReportIntakeTest.kt
+++ b/src/test/kotlin/glenspool/controller/ReportIntakeTest.kt
@@ -12,9 +12,9 @@
     private var term: Term? = null
     private val pending = PendingReports { now }
     private val posted = ArrayList<PendingReport>()
-    private val answers = ArrayList<Pair<String, Orders?>>()
+    private val answers = ArrayList<Pair<String, WorkerOrders?>>()
     private val intake = ReportIntake(pending, { term }, posted::add)
-    private val orders = Orders(3, emptyList())
+    private val orders = WorkerOrders(3, emptyList())
 
     private fun take(machine: String) = intake.take(Report(machine, "$machine:1", "any", "here", false, 1, 1, 3, null, emptyList())) { answers.add(machine to it) }
 
@@ -25,7 +25,7 @@
         take("elected")
         intake.begun = Term(2, 5, 1)
         take("other term")
-        assertEquals(listOf("follower", "elected", "other term").map { it to null as Orders? }, answers)
+        assertEquals(listOf("follower", "elected", "other term").map { it to null as WorkerOrders? }, answers)
         assertEquals(0, posted.size)
         intake.begun = term
         take("leader")
@@ -44,7 +44,7 @@
         assertEquals(0, answers.size)
         now += 1.milliseconds
         take("late")
-        assertEquals(listOf<Pair<String, Orders?>>("late" to null), answers)
+        assertEquals(listOf<Pair<String, WorkerOrders?>>("late" to null), answers)
         assertEquals(listOf("first", "in time", "late"), posted.map { it.report.machine })
         posted.forEach {
             pending.take(it)
--- a/src/test/kotlin/glenspool/core/GuardsTest.kt
+++ b/src/test/kotlin/glenspool/core/GuardsTest.kt
@@ -27,6 +27,22 @@
 
 /** One guard each, with the failure that it is there for. */
 class GuardsTest : Driven() {
+    @Test
+    fun `a task that the state service never recorded blocks its task when the job is submitted again`() {
+        started(2)
+        say(report("m1", listOf(task("a", 0, 7, TaskState.RUNNING))))
+        submit(job("a", tasks = 2))
+        wait(2.seconds)
+        assertEquals(setOf(1), core.jobs.getValue("a").placements.keys, "task 0 runs on m1")
+        assertEquals(setOf(TaskKey("a", 0)), core.jobs.getValue("a").orphans.keys)
+        // Both count for room: the task that was placed beside it, and the orphan until the machine shows that it is gone.
+        assertEquals(Amount(12.0, 2.0, 48.0), core.machines.getValue("m1").free(bigType))
+        say(report("m1"))
+        wait(2.seconds)
+        confirm()
+        assertEquals(setOf(0, 1), core.jobs.getValue("a").placements.keys)
+    }
+
     @Test
     fun `no start is sent before the placement is stored`() {
         started()
--- a/src/test/kotlin/glenspool/standin/Driven.kt
+++ b/src/test/kotlin/glenspool/standin/Driven.kt
@@ -6,6 +6,7 @@
 import glenspool.core.Probe
 import glenspool.core.Scheduler
 import glenspool.core.SchedulerConfig
+import glenspool.core.SchedulerHooks
 import glenspool.core.Store
 import glenspool.core.StoreOutcome
 import glenspool.core.model.Amount
@@ -28,8 +29,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** The core alone, driven by hand: events go in, what it wants done comes out. */
-abstract class Driven(settings: SchedulerConfig = config(peerZones = setOf("b"))) {
-    protected val core = Scheduler(settings, TOKEN, Duration.ZERO)
+abstract class Driven(settings: SchedulerConfig = config(peerZones = setOf("b")), hooks: SchedulerHooks = SchedulerHooks()) {
+    protected val core = Scheduler(settings, TOKEN, Duration.ZERO, hooks)
     protected var now = Duration.ZERO
     protected var revision = 100L
     private val seqs = HashMap<String, Long>()
--- a/src/test/kotlin/glenspool/standin/World.kt
+++ b/src/test/kotlin/glenspool/standin/World.kt
@@ -791,7 +791,7 @@
             val m = leader?.machines?.get(p.machine)
             "${p.key.task}#${p.attempt}@${p.machine} ${p.step}/${p.state} sent=${p.startSent} stop=${p.stop} machine[trusted=${m?.trusted} heard=${m?.heard} deleting=${m?.deleting} loose=${m?.loose} busy=${m?.directBusy}]"
         }
-        return "now=$now writing=${j.writing} changes=${j.changes}/${j.saved} version=${j.version} strays=${j.strays} " +
+        return "now=$now writing=${j.writing} changes=${j.changes}/${j.saved} version=${j.version} orphans=${j.orphans} " +
             "waiting=${j.waiting(9)} notBefore=${j.notBefore} failedOn=${j.failedOn} $where"
     }
 
--- a/src/test/kotlin/glenspool/wire/WireTest.kt
+++ b/src/test/kotlin/glenspool/wire/WireTest.kt
@@ -118,8 +118,11 @@
 
     @Test
     fun `orders write as in the protocol`() {
-        val commands =
-            listOf(StartTask(TaskKey("run-000412", 4), 2, StartCause.PLACED), StopTask(TaskKey("run-000377", 1), 1, 10.seconds, StopCause.PREEMPTED), ForgetTask(TaskKey("run-000398", 0), 1, ForgetCause.RECORDED))
+        val commands = listOf(
+            StartTask(TaskKey("run-000412", 4), 2, StartCause.PLACED),
+            StopTask(TaskKey("run-000377", 1), 1, 10.seconds, StopCause.PREEMPTED),
+            ForgetTask(TaskKey("run-000398", 0), 1, ForgetCause.RECORDED),
+        )
         val orders = """[{"verb":"run","thread":"run-000412/4","try":2},{"verb":"stop","thread":"run-000377/1","try":1,"wind_down_s":10.0},
             {"verb":"clear","thread":"run-000398/0","try":1}]"""
         assertSays("""{"baton":41,"orders":$orders}""", WorkerWire.answer(41, commands))
