A controller that does not manage recovery proves nothing about a cold start

Cause: its answer had no word of what its process lived through, which was read as "nothing": a start could be called cold while such a controller had lived on. Treated the same way, but not proved. Such an answer counts as none now. A record that is read for the first time lists no finished tasks, of which there may be a hundred thousand. Found in a reading.

--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -239,7 +239,7 @@
     fun fresh(): Boolean = replica.age().let { it != null && it < FRESH }
 
     private fun status() = PeerStatus(
-        settings.node, leadership.current() != null, leadership.recordedLeader(), fresh(), PeerStatus.SEALED, rollout?.ownLevels(), recovery?.firstWitnessed,
+        settings.node, leadership.current() != null, leadership.recordedLeader(), fresh(), PeerStatus.SEALED, rollout?.ownLevels(), recovery?.ownWitness(),
     )
 
     /**
--- a/src/main/kotlin/glenspool/controller/RecoveryManager.kt
+++ b/src/main/kotlin/glenspool/controller/RecoveryManager.kt
@@ -3,6 +3,7 @@
 import glenspool.core.SchedulerHooks
 import glenspool.logging.loggerOf
 import glenspool.peer.PeerClient
+import glenspool.peer.PeerWitness
 import glenspool.peer.RecoveryReply
 import glenspool.peer.RecoveryRequest
 import glenspool.peer.RecoveryVerb
@@ -69,10 +70,12 @@
     @Volatile
     private var enteredPhase: RecoveryPhase? = null
 
-    /** The first term that this process has lived through, as evidence for other controllers. */
+    /** The first term that this process has lived through. */
     @Volatile
-    var firstWitnessed: Long? = null
-        private set
+    private var firstWitnessed: Long? = null
+
+    /** What this process shows of itself to the others. */
+    fun ownWitness() = PeerWitness(firstWitnessed)
 
     /** The replica has just been read, by a request that was sent so long ago; all that it told was handed to the core before. */
     fun stateRead(sentAgo: Duration) {
@@ -160,7 +163,8 @@
 
     private fun askMembers(recovery: TermRecovery) {
         askedAt = uptime()
-        val answers = peers.statuses().map { MemberWitness(answered = true, firstToken = it.firstWitnessed) }
+        // A controller that says nothing of this, since it does not manage recovery, is as good as one that can't be asked.
+        val answers = peers.statuses().mapNotNull { it.witness }.map { MemberWitness(answered = true, firstToken = it.firstToken) }
         // The election has opened this term's own record, which says nothing about how the term began.
         val kind = StartJudgement.judge(recovery.term.token, firstWitnessed, answers + unasked(memberCount - answers.size), StoredRecovery.Absent)
         if (kind != StartKind.UNKNOWN) post(Event.StartJudged(recovery.term, kind))
--- a/src/main/kotlin/glenspool/peer/Peers.kt
+++ b/src/main/kotlin/glenspool/peer/Peers.kt
@@ -24,8 +24,8 @@
     val reads: Int = 0,
     /** Which levels its build knows, and who it is; only where levels are managed. */
     val levels: PeerLevels? = null,
-    /** The token of the first leader's term that its process has lived through; only where recovery is managed. */
-    val firstWitnessed: Long? = null,
+    /** What its process has lived through; only where recovery is managed. */
+    val witness: PeerWitness? = null,
 ) {
     companion object {
         /** Records whose description or places are stored apart. */
@@ -33,6 +33,10 @@
     }
 }
 
+/** The token of the first leader's term that a controller's process has lived through; null if it has lived through none. */
+@Serializable
+data class PeerWitness(val firstToken: Long? = null)
+
 /** What a controller shows of its build as evidence for a rollout. [boot] differs between any two processes. */
 @Serializable
 data class PeerLevels(
--- a/src/main/kotlin/glenspool/reconcile/Views.kt
+++ b/src/main/kotlin/glenspool/reconcile/Views.kt
@@ -84,9 +84,9 @@
     private fun Intent.isSameAs(place: StoredPlace?) = place != null && place.attempt == attempt && place.machine == machine
 
     private fun finished(before: DesiredJob?, record: JobRecord): Set<Int> {
-        if (before != null && before.done == record.done) return emptySet()
+        if (before == null || before.done == record.done) return emptySet()
         val fresh = record.done.clone() as BitSet
-        before?.let { fresh.xor(it.done) }
+        fresh.xor(before.done)
         return fresh.stream().toArray().toHashSet()
     }
 }
