Counting orders costs nothing between an operator's questions

They are read when somebody asks, and once a minute for the log. A single command is not compared with others.

--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -3,7 +3,6 @@
 import glenspool.cloud.CloudClient
 import glenspool.cloud.RentOutcome
 import glenspool.config.Settings
-import glenspool.core.OrderCause
 import glenspool.core.OrderCounts
 import glenspool.core.Scheduler
 import glenspool.core.SchedulerConfig
@@ -61,7 +60,6 @@
     private val clock = TimeSource.Monotonic.markNow()
     private var session: Session? = null
     private var pausedSince: Duration? = null
-    private var countedAt = Duration.ZERO
     private var summarizedAt = Duration.ZERO
     private val stored = StoredJob(replica)
 
@@ -135,7 +133,7 @@
             tick()
         }
         tickRecovery(backlog)
-        countOrders()
+        summarizeOrders()
     }
 
     private fun tickRecovery(backlog: Duration) {
@@ -146,17 +144,14 @@
 
     /** What the present term's leader has ordered so far; null if this node does not lead. */
     @Volatile
-    var orderCounts: Map<OrderCause, Long>? = null
+    var orderCounts: OrderCounts? = null
         private set
 
-    private fun countOrders() {
+    private fun summarizeOrders() {
         val scheduler = session?.scheduler ?: return
-        if (orderCounts != null && scheduler.now - countedAt < COUNT_EVERY) return
-        countedAt = scheduler.now
-        val counts = scheduler.counts.snapshot()
-        orderCounts = counts
         if (scheduler.now - summarizedAt < SUMMARY_EVERY) return
         summarizedAt = scheduler.now
+        val counts = scheduler.counts.snapshot()
         if (counts.isNotEmpty()) log.info("orders token={} {}", scheduler.token, OrderCounts.describe(counts))
     }
 
@@ -241,6 +236,7 @@
         val scheduler = Scheduler(config, term.token, now, recovery?.hooks ?: recoveries()?.ordinaryHooks ?: SchedulerHooks())
         val s = Session(term, scheduler, recovery)
         session = s
+        orderCounts = scheduler.counts
         pausedSince = null
         step {
             membersKnown(features.inUse(FeatureRegistry.SEALED_RECORDS))
@@ -296,7 +292,6 @@
 
         private val TICK: Duration = 250.milliseconds
         private val BEHIND: Duration = 50.milliseconds
-        private val COUNT_EVERY: Duration = 1.seconds
         private val SUMMARY_EVERY: Duration = 60.seconds
     }
 }
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -196,7 +196,7 @@
         settings.node,
         leadership.recordedLeader(),
         recovery != null,
-        loop.orderCounts?.entries?.associate { (cause, number) -> "${cause.kind.name.lowercase()}.${cause.label}" to number },
+        loop.orderCounts?.snapshot()?.entries?.associate { (cause, number) -> "${cause.kind.name.lowercase()}.${cause.label}" to number },
         recovery?.let { manager -> manager.snapshot()?.let(manager::describe) },
     )
 
--- a/src/main/kotlin/glenspool/core/OrderCause.kt
+++ b/src/main/kotlin/glenspool/core/OrderCause.kt
@@ -97,15 +97,17 @@
     override val kind get() = OrderKind.DELETION
 }
 
-/** How many orders a leader has given in its term, by cause. Machines are counted where an order names several. */
+/** How many orders a leader has given in its term, by cause. Machines are counted where an order names several. Any thread may read it. */
 class OrderCounts {
     private val counts = LinkedHashMap<OrderCause, Long>()
 
+    @Synchronized
     fun add(cause: OrderCause, orders: Int = 1) {
         counts.merge(cause, orders.toLong(), Long::plus)
     }
 
     /** A copy, by kind and cause in the order of their declaration; causes that never came up are left out. */
+    @Synchronized
     fun snapshot(): Map<OrderCause, Long> = counts.entries
         .sortedWith(compareBy({ it.key.kind }, { it.key.name }))
         .associateTo(LinkedHashMap()) { it.key to it.value }
--- a/src/main/kotlin/glenspool/core/cluster/CommandQueue.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CommandQueue.kt
@@ -70,7 +70,7 @@
 
     /** The machine's commands that are still wanted and may be sent now; starts that have to wait stay with it. */
     private fun takeCommands(m: Machine): List<Command> {
-        val (admitted, held) = m.orders.filter { stillWanted(m, it) }.distinctBy { it.asWorkersSeeIt() }
+        val (admitted, held) = withoutRepeats(m.orders.filter { stillWanted(m, it) })
             .partition { it !is StartTask || core.hooks.gate.admits(ProposedOrder(it.cause, m.id, it.key)) }
         m.orders.clear()
         m.orders.addAll(held)
@@ -78,6 +78,8 @@
         return admitted
     }
 
+    private fun withoutRepeats(commands: List<Command>) = if (commands.size > 1) commands.distinctBy { it.asWorkersSeeIt() } else commands
+
     private fun stillWanted(m: Machine, c: Command): Boolean {
         if (c !is StartTask) return true
         val p = m.placements[c.key]
