Log why missing tasks are restored or placed anew, and for which jobs machines are requested

The leader's log could not tell why a lost task was not restored during a recovery, or for which job a machine was requested, so the causes suspected for ColdStartOverSocketsTest could not be told apart. One line per decision, not per heartbeat; glenspool explain adds them up. Decisions are unchanged: FrozenDecisionsTest, FrozenFormsTest and ColdStartScenariosTest pass as they are.

--- a/src/main/kotlin/glenspool/cli/ExplainCommand.kt
+++ b/src/main/kotlin/glenspool/cli/ExplainCommand.kt
@@ -24,6 +24,10 @@
                 appendLine("waited for others     ready  s-held-each  aborted with another")
             }
             for ((name, dependencies) in summary.dependencies) appendLine(dependencyLine(name, dependencies))
+            if (summary.missingTasks.isNotEmpty()) appendLine("missing tasks: ${summary.missingTasks}")
+            if (summary.requestedMachines.isNotEmpty()) {
+                appendLine("machines requested by cause: ${summary.requestedMachines}")
+            }
             appendLine("machines given up: ${summary.deletedMachines}")
             val terms = "terms of leadership: ${summary.terms}"
             val leaderless = "%.1f".format(summary.leaderlessSeconds)
--- a/src/main/kotlin/glenspool/cli/LogSummary.kt
+++ b/src/main/kotlin/glenspool/cli/LogSummary.kt
@@ -39,6 +39,12 @@
     /** Summary of jobs with dependencies by class. */
     val dependencies = TreeMap<String, DependencySummary>()
 
+    /** Number of tasks that were missing on their machines, by decision and, if they were placed anew, by obstacle. */
+    val missingTasks = TreeMap<String, Int>()
+
+    /** Number of requested machines by cause. */
+    val requestedMachines = TreeMap<String, Int>()
+
     /** Number of deleted machines by reason. */
     val deletedMachines = TreeMap<String, Int>()
     var expiredLeases = 0
@@ -65,6 +71,8 @@
             "stop" -> addStop(line)
             "dependencies-done" -> line.className?.let { addDependenciesDone(line, it) }
             "abort" -> line.className?.let { dependenciesOf(it).aborted++ }
+            "missing-task" -> addMissingTask(line)
+            "scale-out-planned" -> addRequestedMachines(line)
             "delete-machine" -> deletedMachines.merge(line.reason, 1, Int::plus)
             "lease-expired" -> expiredLeases++
             "elected" -> addElection(line)
@@ -94,6 +102,20 @@
         summary.secondsWaited += line.field("waited-s")?.toDoubleOrNull() ?: 0.0
     }
 
+    private fun addMissingTask(line: LogLine) {
+        val decision = line.field("decision") ?: return
+        val obstacle = line.field("obstacle")?.takeIf { decision == "placed-anew" && it != "null" }
+        missingTasks.merge(listOfNotNull(decision, obstacle).joinToString(" "), 1, Int::plus)
+    }
+
+    /** Adds the machines of a request, whose causes have the form `cause:number,cause:number`. */
+    private fun addRequestedMachines(line: LogLine) {
+        for (part in line.field("causes").orEmpty().split(',')) {
+            val count = part.substringAfter(':', "").toIntOrNull() ?: continue
+            requestedMachines.merge(part.substringBefore(':'), count, Int::plus)
+        }
+    }
+
     private fun addElection(line: LogLine) {
         terms++
         if (terms > 1) leaderlessSeconds += line.seconds - (leadershipEndedAt ?: lastLineOfLeaderAt)
--- a/src/main/kotlin/glenspool/core/SchedulerHooks.kt
+++ b/src/main/kotlin/glenspool/core/SchedulerHooks.kt
@@ -27,4 +27,6 @@
     val newWorkRequiresWorkerHeartbeat: Boolean = false,
     /** How a task is handled that is missing on the machine where it was placed. */
     val missingTaskPolicy: () -> MissingTaskPolicy = { MissingTaskPolicy.RESCHEDULE },
+    /** The fields `name=value` that log lines about missing tasks contain in addition, such as the recovery's phase. */
+    val logFields: () -> String = { "" },
 )
--- a/src/main/kotlin/glenspool/core/autoscaling/PackingPlan.kt
+++ b/src/main/kotlin/glenspool/core/autoscaling/PackingPlan.kt
@@ -7,8 +7,16 @@
 /** A kind of machine that the cloud offers: a type in a zone, spot or ordinary. */
 data class MachineOffer(val type: String, val zone: String, val spot: Boolean)
 
-/** A machine of a packing plan. [cause] is the reason for renting it, or null for an upcoming machine. */
-class PlannedMachine(val offer: MachineOffer, available: Resources, val cause: ScaleOutCause?) {
+/**
+ * A machine of a packing plan. [cause] is the reason for renting it and [job] the id of the job for which it is rented;
+ * both are null for an upcoming machine.
+ */
+class PlannedMachine(
+    val offer: MachineOffer,
+    available: Resources,
+    val cause: ScaleOutCause? = null,
+    val job: String? = null,
+) {
     /** The resources that are not allocated to a planned task. */
     var available: Resources = available
         private set
@@ -21,9 +29,10 @@
 
 /**
  * Bin packing of waiting tasks onto upcoming machines and machines to rent. Upcoming machines have been rented or
- * requested, but are not ready for work yet. [machinesInZone] is the number of existing machines by zone.
+ * requested, but are not ready for work yet. [machinesInZone] is the number of existing machines by zone, [waitingTasks]
+ * the number of tasks that wait for a placement.
  */
-class PackingPlan(private val machinesInZone: Map<String, Int>) {
+class PackingPlan(private val machinesInZone: Map<String, Int>, val waitingTasks: Int) {
     private val planned = ArrayList<PlannedMachine>()
     private val machinesToRentInZone = HashMap<String, Int>()
 
@@ -32,6 +41,9 @@
     /** Machines that are to be rented. */
     val machinesToRent: List<PlannedMachine> get() = planned.filter { it.cause != null }
 
+    /** The number of upcoming machines, which need not be rented. */
+    val upcomingCount: Int get() = planned.count { it.cause == null }
+
     /** Adds an upcoming machine or a machine to rent. */
     fun add(machine: PlannedMachine) {
         planned.add(machine)
--- a/src/main/kotlin/glenspool/core/autoscaling/ScaleOutPlanner.kt
+++ b/src/main/kotlin/glenspool/core/autoscaling/ScaleOutPlanner.kt
@@ -28,12 +28,8 @@
 
     /** Returns a plan for [waiting] jobs, which are in the order in which they are to be served. */
     fun plan(waiting: List<Job>, headroom: ServiceHeadroom.Slots): PackingPlan {
-        val plan =
-            PackingPlan(
-                cluster.machines.values
-                    .groupingBy { it.zone }
-                    .eachCount(),
-            )
+        val machinesInZone = cluster.machines.values.groupingBy { it.zone }.eachCount()
+        val plan = PackingPlan(machinesInZone, waiting.sumOf { it.waitingTaskCount() })
         addUpcomingMachines(plan)
         val (arrays, others) = waiting.partition { it.spec.kind == JobKind.ARRAY }
         for (job in others) packAllTasks(job, plan)
@@ -47,12 +43,12 @@
             val type = cluster.typeOf(machine) ?: continue
             if (!isUpcoming(machine)) continue
             val offer = MachineOffer(machine.type, machine.zone, machine.spot)
-            plan.add(PlannedMachine(offer, machine.available(type), null))
+            plan.add(PlannedMachine(offer, machine.available(type)))
         }
         for (request in requests.unanswered) {
             val type = cluster.types[request.type] ?: continue
             val offer = MachineOffer(request.type, request.zone, request.spot)
-            repeat(request.count) { plan.add(PlannedMachine(offer, type.capacity, null)) }
+            repeat(request.count) { plan.add(PlannedMachine(offer, type.capacity)) }
         }
     }
 
@@ -128,7 +124,7 @@
                 compareBy<PricedOffer> { it.price / maxOf(1, request.countIn(it.type.capacity)) }
                     .thenBy { plan.machinesIn(it.offer.zone) },
             ) ?: return null
-        return PlannedMachine(best.offer, best.type.capacity, cause)
+        return PlannedMachine(best.offer, best.type.capacity, cause, cursor.spec.id)
     }
 
     private fun offersFor(cursor: PackingCursor, onlySpot: Boolean): List<PricedOffer> {
--- a/src/main/kotlin/glenspool/core/autoscaling/ScaleOutRequests.kt
+++ b/src/main/kotlin/glenspool/core/autoscaling/ScaleOutRequests.kt
@@ -47,11 +47,11 @@
     fun request(plan: PackingPlan) {
         for ((offer, machines) in plan.machinesToRent.groupBy { it.offer }) {
             if (open.size >= MAX_OPEN_REQUESTS) return
-            request(offer, machines)
+            request(offer, machines, plan)
         }
     }
 
-    private fun request(offer: MachineOffer, machines: List<PlannedMachine>) {
+    private fun request(offer: MachineOffer, machines: List<PlannedMachine>, plan: PackingPlan) {
         val causes =
             machines
                 .take(MAX_MACHINES_PER_REQUEST)
@@ -66,9 +66,23 @@
         open[name] = request
         causes.forEach { (cause, count) -> context.orderCounts.add(cause, count) }
         context.addAction(request)
+        logCauses(request, machines, plan)
+    }
+
+    /** Logs for which jobs the machines are requested, and which other capacity the plan expects. */
+    private fun logCauses(request: ScaleOut, machines: List<PlannedMachine>, plan: PackingPlan) {
+        val machinesByJob = machines.groupingBy { it.job }.eachCount()
+        context.log(isImportant = true) {
+            val causes = request.causes.entries.joinToString(",") { (cause, count) -> "${cause.label}:$count" }
+            val jobs = machinesByJob.entries.take(MAX_LOGGED_JOBS).joinToString(",") { (job, count) -> "$job:$count" }
+            "scale-out-planned request=${request.request} type=${request.type} zone=${request.zone} " +
+                "spot=${request.spot} causes=$causes jobs=${machinesByJob.size} machines-by-job=$jobs " +
+                "waiting-tasks=${plan.waitingTasks} upcoming-machines=${plan.upcomingCount}"
+        }
     }
 
     private companion object {
+        const val MAX_LOGGED_JOBS = 5
         const val MAX_MACHINES_PER_REQUEST = 50
 
         /** The number of requests at the same time. */
--- a/src/main/kotlin/glenspool/core/cluster/MissingTaskHandler.kt
+++ b/src/main/kotlin/glenspool/core/cluster/MissingTaskHandler.kt
@@ -26,11 +26,42 @@
 
     /** Handles a task that is missing on its machine for an unknown reason. */
     fun handle(placement: Placement, machine: Machine) {
+        val obstacle = obstacleToRestore(placement, machine)
+        val decision = decide(obstacle, placement, machine)
+        val isRepeated = decision == Decision.WAIT && placement.awaitsMachineSince != null
+        if (!isRepeated) logDecision(decision, obstacle, placement, machine)
+        when (decision) {
+            Decision.WAIT -> placement.awaitMachine(now)
+            Decision.RESTORE -> restore(placement, machine)
+            Decision.REPLACE -> attemptEnded(placement, machine, null)
+        }
+    }
+
+    /** What happens to a missing task. */
+    private enum class Decision(val label: String) {
+        RESTORE("restored"),
+        WAIT("waiting"),
+        REPLACE("placed-anew"),
+    }
+
+    /** Why a task can't be started again on its machine at the moment. */
+    private enum class Obstacle(val label: String) {
+        UNWANTED("unwanted"),
+        GANG("gang"),
+        FAILED_HERE("failed-here"),
+        CORDONED("cordoned"),
+        NO_WORKER_HEARTBEAT("no-worker-heartbeat"),
+        NOT_READY("machine-not-ready"),
+    }
+
+    private fun decide(obstacle: Obstacle?, placement: Placement, machine: Machine): Decision {
         val policy = context.hooks.missingTaskPolicy()
-        when {
-            policy == MissingTaskPolicy.RESTORE_AND_WAIT && isFirstHeartbeatPending(machine, placement.job) -> Unit
-            policy != MissingTaskPolicy.RESCHEDULE && canRestore(placement, machine) -> restore(placement, machine)
-            else -> attemptEnded(placement, machine, null)
+        return when {
+            policy == MissingTaskPolicy.RESCHEDULE -> Decision.REPLACE
+            policy == MissingTaskPolicy.RESTORE_AND_WAIT && isFirstHeartbeatPending(machine, placement.job) ->
+                Decision.WAIT
+            obstacle == null -> Decision.RESTORE
+            else -> Decision.REPLACE
         }
     }
 
@@ -47,20 +78,41 @@
     }
 
     /**
-     * Whether the task may be started again on its machine. The placement is stored and occupies resources, quota and
-     * zone, so nothing else is needed. This excludes gangs, whose tasks find each other by their attempt, and machines
-     * that are about to be removed or on which the job failed.
+     * Returns why the task may not be started again on its machine, or null if it may. The placement is stored and
+     * occupies resources, quota and zone, so nothing else is needed. This excludes gangs, whose tasks find each other
+     * by their attempt, and machines that are about to be removed or on which the job failed.
      */
-    private fun canRestore(placement: Placement, machine: Machine): Boolean {
+    private fun obstacleToRestore(placement: Placement, machine: Machine): Obstacle? {
         val job = placement.job
         val isWanted = job.isLive && !job.done[placement.task] && placement.stopCause == null
-        if (!isWanted || job.spec.kind == JobKind.GANG) return false
-        // Whichever message shows that the task is missing, heartbeats that the worker itself sends must arrive;
-        // otherwise a task that is started there ends with the worker's lease.
-        if (!machine.reachability.sentHeartbeatWithin(freshness, now)) return false
-        return machine.id !in job.machinesWithFailures && !machine.isCordoned && machine.isReady(now, freshness)
+        return when {
+            !isWanted -> Obstacle.UNWANTED
+            job.spec.kind == JobKind.GANG -> Obstacle.GANG
+            machine.id in job.machinesWithFailures -> Obstacle.FAILED_HERE
+            machine.isCordoned -> Obstacle.CORDONED
+            // Whichever message shows that the task is missing, heartbeats that the worker itself sends must arrive;
+            // otherwise a task that is started there ends with the worker's lease.
+            !machine.reachability.sentHeartbeatWithin(freshness, now) -> Obstacle.NO_WORKER_HEARTBEAT
+            !machine.isReady(now, freshness) -> Obstacle.NOT_READY
+            else -> null
+        }
+    }
+
+    private fun logDecision(decision: Decision, obstacle: Obstacle?, placement: Placement, machine: Machine) {
+        val isRecoveryInProgress = context.hooks.missingTaskPolicy() != MissingTaskPolicy.RESCHEDULE
+        context.log(isImportant = isRecoveryInProgress && decision == Decision.REPLACE) {
+            val reachability = machine.reachability
+            "missing-task task=$placement class=${placement.job.spec.jobClass} machine=${machine.id} " +
+                "decision=${decision.label} obstacle=${obstacle?.label} waited=${since(placement.awaitsMachineSince)} " +
+                "heartbeat-age=${since(reachability.lastHeartbeatAt)} reply-age=${since(reachability.firstReplyAt)} " +
+                "unreachable-for=${since(reachability.unreachableSince)} incarnation=${machine.incarnation} " +
+                "cordoned=${machine.isCordoned} failures=${placement.job.machinesWithFailures.size} " +
+                context.hooks.logFields()
+        }
     }
 
+    private fun since(time: Duration?): Duration? = time?.let { now - it }
+
     private fun restore(placement: Placement, machine: Machine) {
         placement.resetForRestart()
         commands.add(machine, StartTask(placement.key, placement.attempt, StartCause.RESTORED))
--- a/src/main/kotlin/glenspool/core/lifecycle/Placement.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Placement.kt
@@ -42,6 +42,10 @@
         private set
     val wasStartSent: Boolean get() = startSentAt != null
 
+    /** Since when it waits for its machine to become ready for a restart; null if it does not. */
+    var awaitsMachineSince: Duration? = null
+        private set
+
     /** Whether the start waits until the gang's other tasks have their image. A waiting task exits after some time. */
     var isDeferred = false
 
@@ -84,8 +88,14 @@
         startSentAt = null
     }
 
+    /** Records that the task is missing, and is to be restarted as soon as its machine is ready. */
+    fun awaitMachine(now: Duration) {
+        if (awaitsMachineSince == null) awaitsMachineSince = now
+    }
+
     /** Prepares another start of the task under the same placement and attempt. */
     fun resetForRestart() {
+        awaitsMachineSince = null
         stage = PlacementStage.STORED
         taskState = null
         runningSince = null
@@ -95,6 +105,7 @@
     /** Records the state in a heartbeat. Returns whether it shows the task as running for the first time. */
     fun markObserved(state: TaskState, now: Duration): Boolean {
         stage = PlacementStage.OBSERVED
+        awaitsMachineSince = null
         if (startSentAt == null) startSentAt = now
         taskState = state
         val beginsToRun = state == TaskState.RUNNING && runningSince == null
--- a/src/main/kotlin/glenspool/reconcile/RecoveryEngine.kt
+++ b/src/main/kotlin/glenspool/reconcile/RecoveryEngine.kt
@@ -36,12 +36,13 @@
     private var gathering = GatheringProgress.NONE
 
     /** The hooks for the term's scheduler. */
-    val hooks =
+    val hooks: SchedulerHooks =
         SchedulerHooks(
             gate = RecoveryOrderGate(phases, overrides, unrecordedTasks, budget),
             observer = observer,
             newWorkRequiresWorkerHeartbeat = true,
             missingTaskPolicy = ::missingTaskPolicy,
+            logFields = { "phase=$phase start=$startKind paused=$isPaused" },
         )
 
     var startKind = startKind
--- a/src/test/kotlin/glenspool/cli/ExplainCommandTest.kt
+++ b/src/test/kotlin/glenspool/cli/ExplainCommandTest.kt
@@ -40,6 +40,21 @@
         assertEquals(2.5, summary.leaderlessSeconds, 1e-9)
     }
 
+    @Test
+    fun `decisions about missing tasks and requested machines are summarized`() {
+        val log =
+            """
+            1.0 n0 DEBUG ActionExecutor - missing-task task=run-1/0 attempt=1 class=scan decision=restored obstacle=null
+            2.0 n0 DEBUG ActionExecutor - missing-task task=run-1/1 attempt=1 class=scan decision=waiting obstacle=null
+            3.0 n0 INFO ActionExecutor - missing-task task=run-1/1 class=scan decision=placed-anew obstacle=cordoned
+            4.0 n0 INFO ActionExecutor - scale-out-planned request=r-2-1 causes=backlog:3,headroom:1 jobs=2
+            5.0 n0 INFO ActionExecutor - scale-out-planned request=r-2-2 causes=backlog:2 jobs=1
+            """.trimIndent()
+        val summary = LogSummary.of(log.lineSequence())
+        assertEquals(mapOf("placed-anew cordoned" to 1, "restored" to 1, "waiting" to 1), summary.missingTasks)
+        assertEquals(mapOf("backlog" to 5, "headroom" to 1), summary.requestedMachines)
+    }
+
     @Test
     fun `the summary of a log is printed`() {
         val log = File(dir, "log").also { it.writeText(LOG) }
