Recovery: a missing task waits for its late worker in every phase

What callers saw: in about every second run of ColdStartOverSocketsTest lost tasks were placed anew instead of restored on their machine, and a machine was rented for them; a user's task waits for a second placement, and a start that should cost nothing costs a write.

Cause: only READING and GATHERING waited for a worker's first heartbeat. Gathering ends when 0.9 of the machines are known, and a machine is known as soon as it has answered a probe; in ADOPTING and REPAIRING the next answer that showed the task missing ended its attempt. The wait itself (three intervals from the first reply) was not the limit.

Fix: the recovery waits in every phase while it is active. The wait is half a lease from the first reply (a worker that meets a dead controller loses 5 s), 1.5 intervals for critical work as before, and it also covers a machine that sends heartbeats but did not answer a request. Stalls and the backlog of this process are not part of it. Tasks that can't be restored anyway (gangs, unwanted tasks) no longer wait.

--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -55,7 +55,7 @@
     private val orphans = Orphans(context, cluster)
     private val commands = CommandQueue(context, cluster, deadlines, overload)
     private val tokenAdvancer = FencingTokenAdvancer(context, commands)
-    private val missingTasks = MissingTaskHandler(context, cluster, commands)
+    private val missingTasks = MissingTaskHandler(context, cluster, commands, overload)
     private val heartbeats =
         HeartbeatProcessor(context, cluster, orphans, imageLocations, performance, missingTasks)
     private val heartbeatReplyCommands = HeartbeatReplyCommands(context, cluster)
--- a/src/main/kotlin/glenspool/core/SchedulerConfig.kt
+++ b/src/main/kotlin/glenspool/core/SchedulerConfig.kt
@@ -36,9 +36,19 @@
     /** A machine from which a heartbeat was received within this time may get new work. */
     val heartbeatFreshness: Duration get() = heartbeatInterval * FRESH_INTERVALS + FRESHNESS_MARGIN
 
+    /**
+     * How long a worker that already answers requests may take to send its first heartbeat to a new leader. It tries
+     * the controllers one after another, and each one that does not respond costs it several seconds.
+     */
+    val firstHeartbeatWait: Duration
+        get() = maxOf(lease * FIRST_HEARTBEAT_LEASE_SHARE, heartbeatInterval * MIN_FIRST_HEARTBEAT_INTERVALS)
+
     private companion object {
         /** Allows for one lost heartbeat, and for a delay of each by up to a quarter of the interval. */
         const val FRESH_INTERVALS = 2.2
         val FRESHNESS_MARGIN = 1.seconds
+
+        const val FIRST_HEARTBEAT_LEASE_SHARE = 0.5
+        const val MIN_FIRST_HEARTBEAT_INTERVALS = 3.0
     }
 }
--- a/src/main/kotlin/glenspool/core/SchedulerHooks.kt
+++ b/src/main/kotlin/glenspool/core/SchedulerHooks.kt
@@ -11,7 +11,10 @@
      */
     RESTORE,
 
-    /** As [RESTORE], but a machine that has only replied to requests so far gets time to send its first heartbeat. */
+    /**
+     * As [RESTORE], but the task waits if its machine is only temporarily unfit: a worker that has replied to requests
+     * gets time to send a heartbeat, and a machine that does not reply gets time to be reached again.
+     */
     RESTORE_AND_WAIT,
 }
 
--- a/src/main/kotlin/glenspool/core/cluster/MissingTaskHandler.kt
+++ b/src/main/kotlin/glenspool/core/cluster/MissingTaskHandler.kt
@@ -1,6 +1,7 @@
 package glenspool.core.cluster
 
 import glenspool.core.MissingTaskPolicy
+import glenspool.core.OverloadMonitor
 import glenspool.core.SchedulingContext
 import glenspool.core.StartCause
 import glenspool.core.lifecycle.Job
@@ -20,6 +21,7 @@
     private val context: SchedulingContext,
     private val cluster: ClusterState,
     private val commands: CommandQueue,
+    private val overload: OverloadMonitor,
 ) {
     private val now: Duration get() = context.now
     private val freshness: Duration get() = context.config.heartbeatFreshness
@@ -50,31 +52,44 @@
         GANG("gang"),
         FAILED_HERE("failed-here"),
         CORDONED("cordoned"),
+
+        /** The machine is about to be removed, or gets no work because tasks failed on it. */
+        UNFIT("unfit"),
+
+        /** The machine answers requests, but no heartbeat that its worker sent by itself has arrived lately. */
         NO_WORKER_HEARTBEAT("no-worker-heartbeat"),
-        NOT_READY("machine-not-ready"),
+
+        /** Heartbeats of the worker arrive, but requests to it are unanswered. */
+        UNREACHABLE("unreachable"),
     }
 
     private fun decide(obstacle: Obstacle?, placement: Placement, machine: Machine): Decision {
         val policy = context.hooks.missingTaskPolicy()
         return when {
             policy == MissingTaskPolicy.RESCHEDULE -> Decision.REPLACE
-            policy == MissingTaskPolicy.RESTORE_AND_WAIT && isFirstHeartbeatPending(machine, placement.job) ->
-                Decision.WAIT
             obstacle == null -> Decision.RESTORE
+            policy == MissingTaskPolicy.RESTORE_AND_WAIT && isTemporary(obstacle, machine, placement.job) ->
+                Decision.WAIT
             else -> Decision.REPLACE
         }
     }
 
-    /**
-     * Whether the machine answers requests but its worker has not sent a heartbeat yet. The worker gets the time that
-     * it usually needs to find the leader.
-     */
-    private fun isFirstHeartbeatPending(machine: Machine, job: Job): Boolean {
+    /** Whether the obstacle is expected to end soon. The wait is bounded, and shorter for critical work. */
+    private fun isTemporary(obstacle: Obstacle, machine: Machine, job: Job): Boolean {
         val isCritical = job.effectivePriority == Priority.CRITICAL
-        val intervals = if (isCritical) INTERVALS_TO_WAIT_CRITICAL else INTERVALS_TO_WAIT
-        val reachability = machine.reachability
-        val repliesSince = now - (reachability.firstReplyAt ?: now)
-        return reachability.lastHeartbeatAt == null && repliesSince < context.config.heartbeatInterval * intervals
+        val longestWait =
+            if (isCritical) {
+                context.config.heartbeatInterval * INTERVALS_TO_WAIT_CRITICAL
+            } else {
+                context.config.firstHeartbeatWait
+            }
+        // Heartbeats may be waiting in this process.
+        val span = longestWait + overload.backlog
+        return when (obstacle) {
+            Obstacle.NO_WORKER_HEARTBEAT -> machine.reachability.awaitsHeartbeat(span, now)
+            Obstacle.UNREACHABLE -> !machine.reachability.isUnreachableFor(span, now)
+            else -> false
+        }
     }
 
     /**
@@ -90,10 +105,11 @@
             job.spec.kind == JobKind.GANG -> Obstacle.GANG
             machine.id in job.machinesWithFailures -> Obstacle.FAILED_HERE
             machine.isCordoned -> Obstacle.CORDONED
+            machine.isLeaving || machine.health.isQuarantined(now) -> Obstacle.UNFIT
             // Whichever message shows that the task is missing, heartbeats that the worker itself sends must arrive;
             // otherwise a task that is started there ends with the worker's lease.
             !machine.reachability.sentHeartbeatWithin(freshness, now) -> Obstacle.NO_WORKER_HEARTBEAT
-            !machine.isReady(now, freshness) -> Obstacle.NOT_READY
+            !machine.isReady(now, freshness) -> Obstacle.UNREACHABLE
             else -> null
         }
     }
@@ -104,7 +120,7 @@
             val reachability = machine.reachability
             "missing-task task=$placement class=${placement.job.spec.jobClass} machine=${machine.id} " +
                 "decision=${decision.label} obstacle=${obstacle?.label} waited=${since(placement.awaitsMachineSince)} " +
-                "heartbeat-age=${since(reachability.lastHeartbeatAt)} reply-age=${since(reachability.firstReplyAt)} " +
+                "heartbeat-age=${since(reachability.lastHeartbeatAt)} only-replies-for=${since(reachability.onlyRepliesSince)} " +
                 "unreachable-for=${since(reachability.unreachableSince)} incarnation=${machine.incarnation} " +
                 "cordoned=${machine.isCordoned} failures=${placement.job.machinesWithFailures.size} " +
                 context.hooks.logFields()
@@ -156,11 +172,7 @@
         val MAX_BACKOFF = 60.seconds
         const val MAX_DOUBLINGS = 5
 
-        /**
-         * Heartbeat intervals to wait for a worker's first heartbeat. A worker sends one heartbeat per interval, with a
-         * deviation of up to a quarter; critical work waits for one heartbeat, other work for several.
-         */
+        /** Heartbeat intervals for which critical work waits: a worker sends one in each, give or take a quarter. */
         const val INTERVALS_TO_WAIT_CRITICAL = 1.5
-        const val INTERVALS_TO_WAIT = 3.0
     }
 }
--- a/src/main/kotlin/glenspool/core/cluster/Reachability.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Reachability.kt
@@ -16,8 +16,11 @@
     var lastHeartbeatAt: Duration? = null
         private set
 
-    /** When it first answered a request in this term. */
-    var firstReplyAt: Duration? = null
+    /**
+     * Since when it has only answered requests: the time of the first reply in this term after the last heartbeat that
+     * its worker sent without a request. Null if there was no reply since that heartbeat.
+     */
+    var onlyRepliesSince: Duration? = null
         private set
 
     /** Since when requests have been unanswered; null if they are not. Only an answered request resets it. */
@@ -39,6 +42,9 @@
     /** Whether a heartbeat that its worker sent without a request was received within [span]. */
     fun sentHeartbeatWithin(span: Duration, now: Duration): Boolean = lastHeartbeatAt.isWithin(span, now)
 
+    /** Whether its worker, which answers requests, is expected to send a heartbeat: for [span] after the first reply. */
+    fun awaitsHeartbeat(span: Duration, now: Duration): Boolean = onlyRepliesSince.isWithin(span, now)
+
     /** Whether a request was answered within [span]. */
     fun wasReachableWithin(span: Duration, now: Duration): Boolean = lastReachableAt.isWithin(span, now)
 
@@ -52,8 +58,11 @@
     fun recordContact(source: HeartbeatSource, now: Duration) {
         lastContactAt = now
         when (source) {
-            HeartbeatSource.WORKER -> lastHeartbeatAt = now
-            HeartbeatSource.REPLY -> if (firstReplyAt == null) firstReplyAt = now
+            HeartbeatSource.WORKER -> {
+                lastHeartbeatAt = now
+                onlyRepliesSince = null
+            }
+            HeartbeatSource.REPLY -> if (onlyRepliesSince == null) onlyRepliesSince = now
         }
     }
 
@@ -75,6 +84,7 @@
     fun excludeGap(gap: Duration, now: Duration) {
         lastContactAt = lastContactAt?.let { minOf(now, it + gap) }
         lastHeartbeatAt = lastHeartbeatAt?.let { minOf(now, it + gap) }
+        onlyRepliesSince = onlyRepliesSince?.let { minOf(now, it + gap) }
         unreachableSince = unreachableSince?.let { minOf(now, it + gap) }
     }
 }
--- a/src/main/kotlin/glenspool/reconcile/RecoveryEngine.kt
+++ b/src/main/kotlin/glenspool/reconcile/RecoveryEngine.kt
@@ -151,12 +151,12 @@
         )
     }
 
+    /**
+     * In every phase, workers may still be on their way to this leader: [RecoveryPhase.GATHERING] ends when most of the
+     * machines are known, and a machine is known as soon as it has answered a request.
+     */
     private fun missingTaskPolicy(): MissingTaskPolicy =
-        when {
-            !isActive -> MissingTaskPolicy.RESCHEDULE
-            phase <= RecoveryPhase.GATHERING -> MissingTaskPolicy.RESTORE_AND_WAIT
-            else -> MissingTaskPolicy.RESTORE
-        }
+        if (isActive) MissingTaskPolicy.RESTORE_AND_WAIT else MissingTaskPolicy.RESCHEDULE
 
     private fun createSnapshot(): RecoverySnapshot {
         val totals = observer.totals
--- a/src/test/kotlin/glenspool/core/LargeFleet.kt
+++ b/src/test/kotlin/glenspool/core/LargeFleet.kt
@@ -19,8 +19,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A scheduler whose actions are executed immediately on a fleet without faults, with counts of these actions. */
-class LargeFleet {
-    val core = Scheduler(config(), TOKEN, Duration.ZERO)
+class LargeFleet(hooks: SchedulerHooks = SchedulerHooks()) {
+    val core = Scheduler(config(), TOKEN, Duration.ZERO, hooks)
     var now = Duration.ZERO
 
     /** The running and exited tasks of each machine that was ever sent one. */
@@ -75,6 +75,9 @@
         return Heartbeat(machine, "addr-$machine", "big", zone, false, 1, sequence, TOKEN, null, tasks)
     }
 
+    /** Delivers the answer of a machine to a probe. */
+    fun answerProbe(machine: String) = step { probeEnded(machine, heartbeat(machine)) }
+
     fun sendHeartbeat(machine: String) = step { heartbeatReceived(heartbeat(machine)) }
 
     fun submit(spec: JobSpec) = step { jobRecordRead(JobRecord(spec, now, 0, BitSet(), emptyList()), nextRevision()) }
@@ -109,7 +112,7 @@
         }
     }
 
-    private companion object {
+    companion object {
         const val TOKEN = 5L
     }
 }
