Scale-out: room on a machine whose worker has not reported yet counts as upcoming

Cause: newWorkRequiresWorkerHeartbeat keeps such a machine out of placement rounds, and ScaleOutPlanner counts only machines as upcoming that do not have the leader's token yet, so its room counted nowhere.

--- a/src/main/kotlin/glenspool/core/autoscaling/ScaleOutPlanner.kt
+++ b/src/main/kotlin/glenspool/core/autoscaling/ScaleOutPlanner.kt
@@ -58,7 +58,16 @@
      */
     private fun isUpcoming(machine: Machine): Boolean {
         val isOutOfContact = machine.reachability.isUnreachable || machine.isSilent(context)
-        return !machine.isDeleting && !machine.hasFailed && !machine.isTrusted && !isOutOfContact
+        if (machine.isDeleting || machine.hasFailed || isOutOfContact) return false
+        return !machine.isTrusted || isHeartbeatAwaited(machine)
+    }
+
+    /** Whether the machine gets no new work only because its worker has not sent its first heartbeat yet. */
+    private fun isHeartbeatAwaited(machine: Machine): Boolean {
+        if (!context.hooks.newWorkRequiresWorkerHeartbeat || machine.isLeaving || machine.isCordoned) return false
+        val reachability = machine.reachability
+        return !reachability.sentHeartbeatWithin(context.config.heartbeatFreshness, now) &&
+            reachability.awaitsHeartbeat(context.config.firstHeartbeatWait, now)
     }
 
     /** Packs the tasks of a service or gang, for which machines are rented as soon as there are none to take them. */
