Submission: a failed part of a description ends it; an accepted job is not refused as too long

What callers saw: the repeated submission of an accepted job with a long description got 400 'the job's description is too long' from a controller that could write to the key-value store, but not read from it in time.

Cause: DescriptionPartWriter went on after a conflict if the job's state couldn't be read. With no part stored, the record was then built unsplit, and the store refuses a too large value before it checks conditions.

Fix: the first part that is not stored ends the submission with the job's state, or 503 if it can't be read. The stand-in of the store can now refuse reads alone.

--- a/src/main/kotlin/glenspool/api/DescriptionPartWriter.kt
+++ b/src/main/kotlin/glenspool/api/DescriptionPartWriter.kt
@@ -26,60 +26,45 @@
         data class Failed(val answer: UserAnswer) : Result
     }
 
+    /**
+     * Stores all parts, in as many transactions as the store's limits require. As soon as one of them is not stored, the
+     * submission has failed: a record must never be stored without all of its parts.
+     */
     fun write(record: JobRecord, retry: StoreRetry): Result {
-        val jobId = record.spec.id
         val versions = LinkedHashMap<String, Long>()
         for (puts in JobRecordReader.descriptionPartPuts(record, limits.valueBytes).chunked(limits.txnOps)) {
-            while (true) {
-                when (val attempt = tryWrite(jobId, puts, retry)) {
-                    is Attempt.Stored -> {
-                        puts.forEach { versions[it.key] = attempt.version }
-                        break
-                    }
-                    is Attempt.NotPermitted -> return resultIfNotPermitted(attempt.answer, versions)
-                    is Attempt.Failed -> return Result.Failed(attempt.answer)
-                    Attempt.RateLimited -> Unit
-                }
+            when (val attempt = writeWithRetries(record.spec.id, puts, retry)) {
+                is Attempt.Stored -> puts.forEach { versions[it.key] = attempt.version }
+                is Attempt.Failed -> return Result.Failed(attempt.answer)
             }
         }
         return Result.Stored(versions)
     }
 
-    /**
-     * Known fault: if the job's state can't be read either, the submission continues with the parts [written] so far.
-     * Only the conditions of the transaction that stores the job then keep it from being stored without the other
-     * parts.
-     */
-    private fun resultIfNotPermitted(answer: UserAnswer, written: Map<String, Long>): Result =
-        when (answer) {
-            UserAnswer.Unreachable -> Result.Stored(written)
-            else -> Result.Failed(answer)
-        }
+    private fun writeWithRetries(jobId: String, puts: List<Put>, retry: StoreRetry): Attempt {
+        while (true) tryWrite(jobId, puts, retry)?.let { return it }
+    }
 
     private sealed interface Attempt {
         data class Stored(val version: Long) : Attempt
 
-        /** The level forbids the parts, or the job exists already. */
-        data class NotPermitted(val answer: UserAnswer) : Attempt
-
+        /** The parts were not stored, or it is not known whether they were; the user gets this [answer]. */
         data class Failed(val answer: UserAnswer) : Attempt
-
-        /** The store's rate limit refused the transaction, which is to be repeated. */
-        data object RateLimited : Attempt
     }
 
-    private fun tryWrite(jobId: String, puts: List<Put>, retry: StoreRetry): Attempt {
+    /** Returns null if the store's rate limit refused the transaction, which is to be repeated. */
+    private fun tryWrite(jobId: String, puts: List<Put>, retry: StoreRetry): Attempt? {
         val permit =
             features.permit(FeatureRegistry.SEALED_RECORDS)
-                ?: return Attempt.NotPermitted(query.findOrRefuse(jobId, UserAnswer.TryLater))
+                ?: return Attempt.Failed(query.findOrRefuse(jobId, UserAnswer.TryLater))
         // The conditions keep a delayed copy of this transaction from changing the parts of a job accepted since.
         return when (val result = store.transact(permit.conditions() + notAcceptedConditions(jobId), puts)) {
             is StoreResult.Ok -> Attempt.Stored(result.value)
-            is StoreResult.Conflict -> Attempt.NotPermitted(answerConflict(jobId, result.keys))
+            is StoreResult.Conflict -> Attempt.Failed(answerConflict(jobId, result.keys))
             is StoreResult.Refused ->
                 when {
                     !result.isRateLimit -> Attempt.Failed(UserAnswer.Unreachable)
-                    retry.backOff() -> Attempt.RateLimited
+                    retry.backOff() -> null
                     else -> Attempt.Failed(UserAnswer.RateLimited)
                 }
             is StoreResult.Unknown, StoreResult.Missing -> Attempt.Failed(UserAnswer.Unreachable)
--- a/src/test/kotlin/glenspool/simulation/InMemoryStore.kt
+++ b/src/test/kotlin/glenspool/simulation/InMemoryStore.kt
@@ -37,6 +37,9 @@
     /** Whether every request is answered with 503. */
     var isDown = false
 
+    /** Whether every request other than a transaction is answered with 503. */
+    var rejectsReads = false
+
     /** The maximum number of changes of a transaction. Conditions are limited to four times as many. */
     var maxChangesPerTransaction = 24
 
@@ -114,6 +117,7 @@
     fun serve(request: Request): Response {
         if (isDown) return reply(503, mapOf("error" to "trouble"))
         val path = request.uri.path
+        if (rejectsReads && path != "/multi") return reply(503, mapOf("error" to "trouble"))
         if (path != "/follow") servedRequests++
         return when {
             path == "/multi" -> multi(request)
