Commands: a call that fails with an exception counts as unanswered, not as never tried

What callers could see: a team's quota exceeded, or a task run twice. The starts of a call that threw an exception after sending counted as never sent, so a cancellation removed their placements at once and their quota was used again, although the worker might still execute them.

Cause: ActionExecutor mapped exceptions and calls that the pool had rejected to the same outcome, NOT_TRIED.

WorkerCalls, the interface of WorkerClient, lets the test replace the client.

Fix: an exception counts as UNKNOWN; only a rejected call counts as not tried. Scale-outs, deletions, probes and the fencing token were checked and are right.

--- a/src/main/kotlin/glenspool/controller/ActionExecutor.kt
+++ b/src/main/kotlin/glenspool/controller/ActionExecutor.kt
@@ -26,7 +26,7 @@
 import glenspool.state.StoreResult
 import glenspool.wire.FinalStateWire
 import glenspool.wire.ImagesWire
-import glenspool.worker.WorkerClient
+import glenspool.worker.WorkerCalls
 import kotlin.time.Duration
 
 /**
@@ -38,7 +38,7 @@
     private val leadership: Leadership,
     private val store: KeyValueStoreClient,
     private val cloud: CloudClient,
-    private val workers: WorkerClient,
+    private val workers: WorkerCalls,
     private val writer: StoreWriter,
     private val resignBackoff: Duration,
     private val post: (Event) -> Unit,
@@ -77,7 +77,12 @@
     private fun isLeading(term: Term) = leadership.current() == term
 
     private fun sendCommands(action: SendCommands, term: Term) =
-        run(callPool, onFailure = { post(Event.CommandsEnded(action, CommandOutcome.NOT_TRIED, null, term)) }) {
+        run(
+            callPool,
+            onNotStarted = { post(Event.CommandsEnded(action, CommandOutcome.NOT_TRIED, null, term)) },
+            // The request may have been sent before the exception, and may be executed at any later time.
+            onException = { post(Event.CommandsEnded(action, CommandOutcome.UNKNOWN, null, term)) },
+        ) {
             if (isLeading(term)) {
                 val (outcome, heartbeat) = workers.sendCommands(action)
                 postCommandsEnded(action, outcome, heartbeat, term)
@@ -154,19 +159,26 @@
         }
 
     /** Runs [call] on [pool]. Calls [onFailure] if the pool is full or the call throws an exception. */
-    private fun run(pool: CallPool, onFailure: () -> Unit, call: () -> Unit) {
+    private fun run(pool: CallPool, onFailure: () -> Unit, call: () -> Unit) =
+        run(pool, onNotStarted = onFailure, onException = onFailure, call)
+
+    /**
+     * Runs [call] on [pool]. Calls [onNotStarted] if the pool is full, and [onException] if the call throws an
+     * exception, which may happen after its request was sent.
+     */
+    private fun run(pool: CallPool, onNotStarted: () -> Unit, onException: () -> Unit, call: () -> Unit) {
         val isAccepted =
             pool.tryExecute {
                 try {
                     call()
                 } catch (e: Exception) {
                     log.error("call to a worker, the cloud or the key-value store failed with an exception", e)
-                    onFailure()
+                    onException()
                 }
             }
         if (isAccepted) return
         log.warn("call to a worker, the cloud or the key-value store was not started: its call pool is full")
-        onFailure()
+        onNotStarted()
     }
 
     override fun close() {
--- a/src/main/kotlin/glenspool/controller/CancelledWorkEnforcement.kt
+++ b/src/main/kotlin/glenspool/controller/CancelledWorkEnforcement.kt
@@ -13,7 +13,7 @@
 import glenspool.state.Keys
 import glenspool.state.StoreCache
 import glenspool.wire.MalformedMessage
-import glenspool.worker.WorkerClient
+import glenspool.worker.WorkerCalls
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -29,7 +29,7 @@
     private val cancellations: Cancellations,
     private val cache: StoreCache,
     private val cloud: CloudClient,
-    private val workers: WorkerClient,
+    private val workers: WorkerCalls,
     private val hasLeader: () -> Boolean,
     private val wallTime: () -> Duration,
 ) : AutoCloseable {
--- a/src/main/kotlin/glenspool/controller/CancelledWorkRemover.kt
+++ b/src/main/kotlin/glenspool/controller/CancelledWorkRemover.kt
@@ -5,13 +5,13 @@
 import glenspool.core.model.Heartbeat
 import glenspool.core.model.TaskState
 import glenspool.logging.loggerOf
-import glenspool.worker.WorkerClient
+import glenspool.worker.WorkerCalls
 
 /**
  * Probes machines for cancelled work, and finally deletes them, for a controller that does not lead. Neither request
  * starts anything, so no leadership is needed. The calls block.
  */
-internal class CancelledWorkRemover(private val cloud: CloudClient, private val workers: WorkerClient) {
+internal class CancelledWorkRemover(private val cloud: CloudClient, private val workers: WorkerCalls) {
     /**
      * Returns the heartbeat with which [machine] answers at [addr]; null if no address is known, nothing answers, or
      * another machine answers.
--- a/src/main/kotlin/glenspool/worker/WorkerClient.kt
+++ b/src/main/kotlin/glenspool/worker/WorkerClient.kt
@@ -14,10 +14,18 @@
 /** The outcome of commands, and the [heartbeat] in the worker's response; null if there was no usable one. */
 data class CommandReply(val outcome: CommandOutcome, val heartbeat: Heartbeat?)
 
-/** A client for the requests of controllers to workers. Each goes to the worker's own address, and none is retried. */
-class WorkerClient(private val http: HttpClient) {
+/** The requests of a controller to workers. Each goes to the worker's own address, and none is retried. */
+interface WorkerCalls {
     /** Sends commands and waits until the worker has carried them out or rejected them. */
-    fun sendCommands(request: SendCommands): CommandReply {
+    fun sendCommands(request: SendCommands): CommandReply
+
+    /** Requests the worker's status. Returns null if there was no usable response. */
+    fun probe(addr: String): Heartbeat?
+}
+
+/** Sends the requests to workers over HTTP. */
+class WorkerClient(private val http: HttpClient) : WorkerCalls {
+    override fun sendCommands(request: SendCommands): CommandReply {
         val body = WorkerWire.directCommands(request.token, request.incarnation, request.commands)
         return when (val reply = http.post(request.addr, "/do", body, TIMEOUT)) {
             is CallResult.NotSent -> CommandReply(CommandOutcome.NOT_SENT, null)
@@ -36,8 +44,7 @@
         }
     }
 
-    /** Requests the worker's status. Returns null if there was no usable response. */
-    fun probe(addr: String): Heartbeat? {
+    override fun probe(addr: String): Heartbeat? {
         val reply = http.get(addr, "/show", TIMEOUT)
         return if (reply is CallResult.Response && reply.status == OK) decodeHeartbeat(reply.body) else null
     }
