Store writer: a transaction that fails with an exception gets an outcome

What callers could see: a leader that stores nothing any more until its term ends, so that no task starts. Found while checking the other callers that map an exception to an outcome.

Cause: an exception ended the round of the writer's thread without posting the outcome the core waits for.

Fix: the outcome is unknown, after a read of the store, as after a transaction without a response.

--- a/src/main/kotlin/glenspool/controller/StoreWriter.kt
+++ b/src/main/kotlin/glenspool/controller/StoreWriter.kt
@@ -38,10 +38,21 @@
         while (!Thread.currentThread().isInterrupted) {
             val write = writes.take()
             val isLeading = leadership.current() == write.term
-            onEnded(if (isLeading) store(write.term, write.changes) else NOTHING_STORED, write.term)
+            onEnded(if (isLeading) storeOrUnknown(write) else NOTHING_STORED, write.term)
         }
     }
 
+    /** Stores the changes. After an exception the outcome is unknown; the core must learn of it to write again. */
+    private fun storeOrUnknown(write: Write): StoreOutcome =
+        try {
+            store(write.term, write.changes)
+        } catch (e: InterruptedException) {
+            throw e
+        } catch (e: Exception) {
+            log.error("transaction for jobs {} failed; its outcome is unknown", write.changes.writes.map { it.id }, e)
+            readAfterUnknown()
+        }
+
     private fun store(term: Term, changes: StoreChanges): StoreOutcome {
         val conditions = sealedFormConditions(changes) ?: return NOTHING_STORED
         val transaction = transactionOf(term.recordVersion, changes, conditions)
@@ -52,15 +63,19 @@
             is StoreResult.Conflict -> handleConflict(result)
             is StoreResult.Refused ->
                 if (result.status == BAD_REQUEST_STATUS) handleTooLarge(term, changes) else NOTHING_STORED
-            is StoreResult.Missing, is StoreResult.Unknown -> {
-                // The transaction may have been applied, or may be applied later. The versions read now decide, and
-                // each write's condition on the job's version prevents a late write from undoing a newer one.
-                cache.sync(UNKNOWN_SYNC_TIMEOUT)
-                StoreOutcome.Unknown
-            }
+            is StoreResult.Missing, is StoreResult.Unknown -> readAfterUnknown()
         }
     }
 
+    /**
+     * Reads the store after a transaction that may have been applied, or may be applied later. The versions read now
+     * decide, and each write's condition on the job's version prevents a late write from undoing a newer one.
+     */
+    private fun readAfterUnknown(): StoreOutcome {
+        cache.sync(UNKNOWN_SYNC_TIMEOUT)
+        return StoreOutcome.Unknown
+    }
+
     /**
      * Returns the additional conditions of writes in the sealed form. Without a permit only records that are already
      * stored in that form may be rewritten in it. Returns null if [changes] contain other sealed records, which the
