--- a/src/main/kotlin/glenspool/api/DependencyResolver.kt
+++ b/src/main/kotlin/glenspool/api/DependencyResolver.kt
@@ -69,7 +69,7 @@
                 }
                 if (jobId in direct) liveDependencies.add(jobId)
                 if (RecordWire.waitsForDependencies(record.value)) {
-                    records.read(jobId, record.value).dependencies.filterTo(queue) { seen.add(it) }
+                    records.readWithoutChunks(jobId, record.value).dependencies.filterTo(queue) { seen.add(it) }
                 }
             }
             return null
@@ -111,7 +111,10 @@
 
     /** Returns null if a new job may name [jobId] as a dependency. */
     private fun validateDependency(jobId: String): Validation? {
-        val record = liveKeys.atomically { liveKeys.get(Keys.job(jobId))?.let { records.read(jobId, it.value) } }
+        val record =
+            liveKeys.atomically {
+                liveKeys.get(Keys.job(jobId))?.let { records.readWithoutChunks(jobId, it.value) }
+            }
         if (record != null) {
             val isService = record.spec.kind == JobKind.SERVICE
             return if (isService) Invalid("awaits: $jobId is a service, which is never done") else null
--- a/src/main/kotlin/glenspool/api/JobQuery.kt
+++ b/src/main/kotlin/glenspool/api/JobQuery.kt
@@ -1,10 +1,13 @@
 package glenspool.api
 
 import glenspool.core.model.JobRecord
+import glenspool.logging.loggerOf
 import glenspool.state.JobRecordReader
 import glenspool.state.Keys
 import glenspool.state.StoreCache
+import glenspool.wire.Fields
 import glenspool.wire.JobOutcome
+import glenspool.wire.MalformedMessage
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -36,7 +39,8 @@
         return if (state is UserAnswer.NotFound) refusal else state
     }
 
-    private class LiveJob(val record: JobRecord, val isCancelled: Boolean)
+    /** @property record null if the stored record can't be decoded */
+    private class LiveJob(val record: JobRecord?, val isCancelled: Boolean)
 
     /**
      * Reads the job's record and its cancellation atomically. With two separate reads, a cancelled job that ends
@@ -44,8 +48,22 @@
      */
     private fun readLive(jobId: String): LiveJob? =
         cache.atomically {
-            val record = cache.get(Keys.job(jobId))?.let { records.read(jobId, it.value) }
-            record?.let { LiveJob(it, isCancelled = cache.get(Keys.cancel(jobId)) != null) }
+            cache.get(Keys.job(jobId))?.let { item ->
+                LiveJob(readOrNull(jobId, item.value), isCancelled = cache.get(Keys.cancel(jobId)) != null)
+            }
+        }
+
+    /** Returns as much of the record as can be decoded, because a damaged record still shows that the job is live. */
+    private fun readOrNull(jobId: String, value: Fields): JobRecord? =
+        decodeOrNull(jobId) { records.read(jobId, value) }
+            ?: decodeOrNull(jobId) { records.readWithoutChunks(jobId, value) }
+
+    private fun decodeOrNull(jobId: String, decode: () -> JobRecord): JobRecord? =
+        try {
+            decode()
+        } catch (e: MalformedMessage) {
+            log.error("stored record of job {} is damaged; only what can be decoded is reported: {}", jobId, e.message)
+            null
         }
 
     /**
@@ -72,9 +90,11 @@
 
     /**
      * Returns the state of a live job that was not cancelled itself. A job that depends on a cancelled job counts as
-     * cancelled from the moment of that cancellation, even if this is not stored yet.
+     * cancelled from the moment of that cancellation, even if this is not stored yet. Of a job whose record
+     * is damaged it is known only that it was accepted and has not ended.
      */
-    private fun findLive(jobId: String, record: JobRecord): JobQueryAnswer {
+    private fun findLive(jobId: String, record: JobRecord?): JobQueryAnswer {
+        if (record == null) return UserAnswer.Live(jobId, tasksDone = 0, tasksRunning = 0, emptyList())
         if (record.dependencies.isEmpty()) return liveAnswer(record, emptyList())
         return when (val resolution = dependencyResolver.resolve(record.dependencies)) {
             is DependencyResolver.Waiting -> liveAnswer(record, resolution.unfinishedDependencies)
@@ -89,6 +109,8 @@
     }
 
     companion object {
+        private val log = loggerOf(JobQuery::class.java)
+
         /** How long a request waits for the cache to be brought up to date. */
         val SYNC_TIMEOUT = 1500.milliseconds
     }
--- a/src/test/kotlin/glenspool/rollout/StoredFormsFuzzTest.kt
+++ b/src/test/kotlin/glenspool/rollout/StoredFormsFuzzTest.kt
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNotNull
 import org.junit.jupiter.api.Assertions.assertNull
+import java.util.Base64
 import java.util.BitSet
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -140,6 +141,18 @@
         readers.forEach { readOrNull(it, fields) }
     }
 
+    @Property(seed = "4715")
+    fun `a chunk of done bits with any key and value is read, or rejected as malformed`(
+        @ForAll number: String,
+        @ForAll bits: ByteArray,
+    ) {
+        val store = InMemoryStore()
+        val chunk = Put(Keys.chunks("a") + number, mapOf("done" to Base64.getEncoder().encodeToString(bits)))
+        val record = JobRecord(job("a", tasks = 20_000), 5.milliseconds, 0, BitSet(), emptyList())
+        store.transact(emptyMap(), listOf(chunk), emptyList())
+        readOrNull({ JobRecordReader(store).read("a", it) }, RecordWire.encode(record))
+    }
+
     @Property(tries = 400, seed = "4713")
     fun `a level record decodes to itself, and no other reader accepts it`(
         @ForAll("levelRecords") record: LevelRecord,
