Recovery: a phase waits for what was observed before it began, not for an empty queue

Cause: ADOPTING ends when the queue of observations is empty. 60 of them, or a fortieth, leave it in a tick of 250 ms; from about 480 machines at 2 s (720 at 3 s) more arrive. The cloud's list was compared only when nothing else was queued.

Fix: a marker at the beginning of each phase; the list takes its turn.

--- a/src/main/kotlin/glenspool/reconcile/DeferredUpdates.kt
+++ b/src/main/kotlin/glenspool/reconcile/DeferredUpdates.kt
@@ -12,48 +12,76 @@
  * machine only the newest is kept.
  */
 class DeferredUpdates(private val tracker: DifferenceTracker) {
-    private class Observation(
-        val heartbeat: Heartbeat,
-        val source: HeartbeatSource,
-        val isTrusted: Boolean,
-        val at: Duration,
-    )
+    /** An update with its number in the order of arrival; an update that replaces another one keeps its number. */
+    private class Update(val number: Long, val source: HeartbeatSource?, val apply: () -> Unit)
 
-    private val jobUpdates = ArrayDeque<() -> Unit>()
-    private val observations = LinkedHashMap<String, Observation>()
-    private var listUpdate: (() -> Unit)? = null
+    /** Updates of jobs. They are applied before all others, because observations are compared with the jobs. */
+    private val jobUpdates = ArrayDeque<Update>()
+
+    /** The newest heartbeat of each machine and the cloud's newest list, by [ObservationKey], in order of arrival. */
+    private val observations = LinkedHashMap<ObservationKey, Update>()
+    private var nextNumber = 0L
+    private var marker = 0L
+
+    /** What an observation is about; a newer observation of the same replaces it. */
+    private sealed interface ObservationKey {
+        data class MachineHeartbeat(val machine: String) : ObservationKey
+
+        data object MachineList : ObservationKey
+    }
 
     /** The number of updates in the queue. */
-    val size: Int get() = jobUpdates.size + observations.size + (if (listUpdate == null) 0 else 1)
+    val size: Int get() = jobUpdates.size + observations.size
 
-    val isEmpty: Boolean get() = size == 0
+    /** Requires all updates that are in the queue at present for [isAppliedUpToMarker]. */
+    fun placeMarker() {
+        marker = nextNumber
+    }
+
+    /**
+     * Whether all updates that were queued before the last [placeMarker] have been applied. The queue of a large fleet
+     * may never be empty, because heartbeats arrive faster than they are compared.
+     */
+    val isAppliedUpToMarker: Boolean
+        get() {
+            val heads = listOfNotNull(jobUpdates.firstOrNull(), observations.values.firstOrNull())
+            return heads.all { it.number >= marker }
+        }
 
     /** Queues [DifferenceTracker.jobStored]. */
-    fun jobStored(record: JobRecord, isAdopted: Boolean) = jobUpdates.addLast { tracker.jobStored(record, isAdopted) }
+    fun jobStored(record: JobRecord, isAdopted: Boolean) = addJobUpdate { tracker.jobStored(record, isAdopted) }
 
     /** Queues [DifferenceTracker.jobCancelled]. */
-    fun jobCancelled(job: String) = jobUpdates.addLast { tracker.jobCancelled(job) }
+    fun jobCancelled(job: String) = addJobUpdate { tracker.jobCancelled(job) }
 
     /** Queues [DifferenceTracker.jobEnded]. */
-    fun jobEnded(job: String) = jobUpdates.addLast { tracker.jobEnded(job) }
+    fun jobEnded(job: String) = addJobUpdate { tracker.jobEnded(job) }
+
+    private fun addJobUpdate(apply: () -> Unit) = jobUpdates.addLast(Update(nextNumber++, null, apply))
 
     /** Queues a heartbeat in place of an older one of its machine. */
     fun machineObserved(heartbeat: Heartbeat, source: HeartbeatSource, isTrusted: Boolean, at: Duration) {
+        val key = ObservationKey.MachineHeartbeat(heartbeat.machine)
         // If a reply to a request replaces a queued heartbeat that the worker sent on its own, the source stays WORKER,
         // because the worker's own heartbeat has arrived.
-        val isQueuedFromWorker = observations[heartbeat.machine]?.source == HeartbeatSource.WORKER
+        val isQueuedFromWorker = observations[key]?.source == HeartbeatSource.WORKER
         val effectiveSource = if (isQueuedFromWorker) HeartbeatSource.WORKER else source
-        observations[heartbeat.machine] = Observation(heartbeat, effectiveSource, isTrusted, at)
+        addObservation(key, effectiveSource) { tracker.machineObserved(heartbeat, effectiveSource, isTrusted, at) }
     }
 
     /** Queues a machine list of the cloud in place of an older one. */
     fun machinesListed(machines: List<ListedMachine>, at: Duration) {
-        listUpdate = { tracker.machinesListed(machines, at) }
+        addObservation(ObservationKey.MachineList, null) { tracker.machinesListed(machines, at) }
+    }
+
+    private fun addObservation(key: ObservationKey, source: HeartbeatSource?, apply: () -> Unit) {
+        val number = observations[key]?.number ?: nextNumber++
+        observations[key] = Update(number, source, apply)
     }
 
     /** Applies a deletion immediately, because it is certain. */
     fun machineDeleted(machine: String) {
-        observations.remove(machine)
+        observations.remove(ObservationKey.MachineHeartbeat(machine))
         tracker.machineDeleted(machine)
     }
 
@@ -62,24 +90,15 @@
         repeat(limit) { if (!applyNext()) return }
     }
 
-    /** Applies one update: jobs first, then machines, then the cloud's list. Returns false if none was queued. */
+    /** Applies one update, of a job if there is one. Returns false if none was queued. */
     private fun applyNext(): Boolean {
-        val jobUpdate = jobUpdates.removeFirstOrNull()
-        val observation = observations.values.firstOrNull()
-        when {
-            jobUpdate != null -> jobUpdate()
-            observation != null -> {
-                observations.remove(observation.heartbeat.machine)
-                tracker.machineObserved(
-                    observation.heartbeat, observation.source, observation.isTrusted, observation.at,
-                )
-            }
-            else -> {
-                val update = listUpdate ?: return false
-                listUpdate = null
-                update()
-            }
-        }
+        val update = jobUpdates.removeFirstOrNull() ?: takeObservation() ?: return false
+        update.apply()
         return true
     }
+
+    private fun takeObservation(): Update? {
+        val key = observations.keys.firstOrNull() ?: return null
+        return observations.remove(key)
+    }
 }
--- a/src/main/kotlin/glenspool/reconcile/PhaseStateMachine.kt
+++ b/src/main/kotlin/glenspool/reconcile/PhaseStateMachine.kt
@@ -9,7 +9,7 @@
  * @property isListRead whether the cloud's list has arrived in this term
  * @property repairable the number of differences that orders can still remove
  * @property unconfirmed the number of adopted placements for which it is unknown whether their task still runs
- * @property isCompared whether all observations have been compared
+ * @property isCompared whether all observations from before the present phase have been compared
  */
 data class PhaseFacts(
     val now: Duration,
--- a/src/main/kotlin/glenspool/reconcile/RecoveryEngine.kt
+++ b/src/main/kotlin/glenspool/reconcile/RecoveryEngine.kt
@@ -126,6 +126,7 @@
             // Earlier phases admit no destructive orders, and entering the next phase depends on the breaker's state.
             if (phase == RecoveryPhase.ADOPTING) evaluateBreaker(notices)
             entered.add(phases.advance(facts()) ?: return entered)
+            observer.phaseEntered()
         }
     }
 
--- a/src/main/kotlin/glenspool/reconcile/RecoveryObserver.kt
+++ b/src/main/kotlin/glenspool/reconcile/RecoveryObserver.kt
@@ -24,8 +24,8 @@
 
     val isListRead: Boolean get() = newestList != null
 
-    /** Whether all observations have been compared. */
-    val isCompared: Boolean get() = updates.isEmpty
+    /** Whether all observations from before the present phase have been compared. */
+    val isCompared: Boolean get() = updates.isAppliedUpToMarker
 
     /** The fleet's size as far as it is known: the number of listed or of reporting machines, whichever is larger. */
     val fleetSize: Int get() = maxOf(newestList?.size ?: 0, reportedMachines.size)
@@ -51,6 +51,9 @@
         updates.apply(maxOf(limit, updates.size / MIN_QUEUE_SHARE_DIVISOR))
     }
 
+    /** Marks the beginning of a phase, for [isCompared]. */
+    fun phaseEntered() = updates.placeMarker()
+
     /** Discards all observations, because nothing is kept after the recovery. */
     fun clear() {
         tracker = DifferenceTracker()
