Image locations: a part whose write failed is stored again, one part every three seconds at most

What callers saw: after a failover tasks fetch images again on machines that have them, if the write of these locations had failed once and the images had not changed since.

Cause: a part counted as stored when its write was requested.

Evidence: ImageLocationsTest fails in both tests and FailedCallTest in its new one while the outcome is ignored, as before (the part is not stored again within 20 s).

--- a/src/main/kotlin/glenspool/controller/ActionExecutor.kt
+++ b/src/main/kotlin/glenspool/controller/ActionExecutor.kt
@@ -128,10 +128,13 @@
         }
 
     private fun storeImageLocations(action: StoreImageLocations, term: Term) =
-        run(callPool, onFailure = { log.debug("image locations not stored: the request was not started or failed") }) {
+        run(callPool, onFailure = { post(Event.ImageLocationsNotStored(action.part, term)) }) {
             val put = Put(Keys.images(action.part), ImagesWire.encode(action.images))
             val result = store.transact(mapOf(Keys.LEADERSHIP to term.recordVersion), listOf(put))
-            if (result !is StoreResult.Ok) log.debug("image locations not stored: {}", result)
+            if (result !is StoreResult.Ok) {
+                log.debug("image locations not stored: {}", result)
+                post(Event.ImageLocationsNotStored(action.part, term))
+            }
         }
 
     private fun readFinalStates(action: ReadFinalStates, term: Term) =
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -120,6 +120,7 @@
             is Event.ScaleOutEnded -> step { scaleOutEnded(event) }
             is Event.DeletionEnded -> step { deletionEnded(event.machines, event.isDeleted) }
             is Event.StoreEnded -> activeTermIf(event.term)?.step { transactionEnded(event.outcome) }
+            is Event.ImageLocationsNotStored -> activeTermIf(event.term)?.step { imageLocationsNotStored(event.part) }
             is Event.FencingTokenAdvanced -> step { fencingTokenAdvanced(event.token) }
             is Event.StoreRead -> activeTerm?.storeRead(event.sent)
             is Event.StartKindDetermined -> activeTermIf(event.term)?.startKindDetermined(event.kind)
--- a/src/main/kotlin/glenspool/controller/Event.kt
+++ b/src/main/kotlin/glenspool/controller/Event.kt
@@ -58,6 +58,9 @@
     /** A transaction of the term ended. */
     data class StoreEnded(val outcome: StoreOutcome, val term: Term) : Event
 
+    /** The image locations of the [part] were not stored, or it is not known whether they were. */
+    data class ImageLocationsNotStored(val part: Int, val term: Term) : Event
+
     /** The fencing token was advanced to [token]; null if it was not advanced or the outcome is unknown. */
     data class FencingTokenAdvanced(val token: Long?) : Event
 
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -165,6 +165,9 @@
     /** The image locations that an earlier leader stored were read; each is used once its machine sends a heartbeat. */
     fun imageLocationsRead(images: ImagesByMachine) = imageLocations.loadStored(images)
 
+    /** The image locations of a [part] were not stored, or it is not known whether they were. */
+    fun imageLocationsNotStored(part: Int) = imageLocations.notStored(part)
+
     // Machines.
 
     /** A worker sent a periodic heartbeat. Returns the commands for the answer. */
--- a/src/main/kotlin/glenspool/core/cluster/ImageLocations.kt
+++ b/src/main/kotlin/glenspool/core/cluster/ImageLocations.kt
@@ -17,6 +17,9 @@
     /** The image locations that an earlier leader stored. */
     private var inherited: ImagesByMachine = emptyMap()
     private val storedParts = HashMap<Int, ImagesByMachine>()
+
+    /** Parts whose last write failed, so that they may not be stored as in [storedParts]. */
+    private val partsToRepeat = HashSet<Int>()
     private var storedAt = context.now
     private var nextPart = 0
 
@@ -34,14 +37,20 @@
         inherited[machine.id]?.forEach { (image, gb) -> machine.imageCache.recordUse(image, gb, cacheGb) }
     }
 
-    /** Stores the next part that has changed, at most one per [STORE_INTERVAL]. */
+    /** Called when a part was not stored. It is stored again when its turn comes. */
+    fun notStored(part: Int) {
+        partsToRepeat.add(part)
+    }
+
+    /** Stores the next part that has changed or has to be repeated, at most one per [STORE_INTERVAL]. */
     fun storeChanges() {
         if (context.now - storedAt < STORE_INTERVAL) return
         val parts = currentParts()
         for (offset in 0 until PART_COUNT) {
             val part = (nextPart + offset) % PART_COUNT
             val images = parts[part] ?: emptyMap()
-            if (images == storedParts[part].orEmpty()) continue
+            if (images == storedParts[part].orEmpty() && part !in partsToRepeat) continue
+            partsToRepeat.remove(part)
             nextPart = part + 1
             storedAt = context.now
             storedParts[part] = images
--- a/src/test/kotlin/glenspool/controller/FailedCallTest.kt
+++ b/src/test/kotlin/glenspool/controller/FailedCallTest.kt
@@ -4,6 +4,7 @@
 import glenspool.config.StoreLimits
 import glenspool.core.CommandOutcome
 import glenspool.core.SendCommands
+import glenspool.core.StoreImageLocations
 import glenspool.core.model.Heartbeat
 import glenspool.core.model.Resources
 import glenspool.core.model.TaskState
@@ -74,13 +75,23 @@
         listener.close()
     }
 
+    private fun awaitElection(): Term = checkNotNull(elected.poll(5, TimeUnit.SECONDS)) { "not elected" }
+
     /** Carries out the request with [FailingWorkers], and returns the event that the core receives. */
     private fun perform(request: SendCommands): Event.CommandsEnded {
-        val term = checkNotNull(elected.poll(5, TimeUnit.SECONDS)) { "not elected" }
-        executor.perform(request, term)
+        executor.perform(request, awaitElection())
         return events.poll(5, TimeUnit.SECONDS) as Event.CommandsEnded
     }
 
+    /** Guards against image locations that are never stored again after a failed write. */
+    @Test
+    fun `the core learns that image locations were not stored`() {
+        val term = awaitElection()
+        state.isDown = true
+        executor.perform(StoreImageLocations(3, emptyMap()), term)
+        assertEquals(Event.ImageLocationsNotStored(3, term), events.poll(5, TimeUnit.SECONDS))
+    }
+
     @Test
     fun `a call that fails with an exception after its request was sent counts as unanswered`() {
         val ended = perform(sendSingleStart())
