Worker client: a rejection without a body is no malformed heartbeat

What operators saw: a warning that a heartbeat could not be decoded for each rejection without a body. Cause: the body was decoded even if there was none. AdaptersTest, with the log captured, failed before with this line.

--- a/src/main/kotlin/glenspool/worker/WorkerClient.kt
+++ b/src/main/kotlin/glenspool/worker/WorkerClient.kt
@@ -35,7 +35,8 @@
     }
 
     private fun replyOf(reply: CallResult.Response): CommandReply {
-        val heartbeat = decodeHeartbeat(reply.body)
+        val isRejectionWithoutHeartbeat = reply.status != OK && reply.body.isEmpty()
+        val heartbeat = if (isRejectionWithoutHeartbeat) null else decodeHeartbeat(reply.body)
         return when {
             // Only the heartbeat in the response shows that the commands are in effect.
             reply.status == OK && heartbeat != null -> CommandReply(CommandOutcome.DONE, heartbeat)
--- a/src/test/kotlin/glenspool/api/AdaptersTest.kt
+++ b/src/test/kotlin/glenspool/api/AdaptersTest.kt
@@ -19,6 +19,7 @@
 import glenspool.peer.PeerStatus
 import glenspool.peer.RelayAnswer
 import glenspool.peer.RelayRequest
+import glenspool.simulation.linesOfStandardError
 import glenspool.wire.Cbor
 import glenspool.wire.Fields
 import glenspool.worker.WorkerClient
@@ -134,6 +135,24 @@
         assertEquals(3.5.seconds, worker.probe(addr)?.preemptionNotice)
     }
 
+    /** Guards against a warning for each rejection without a body, which is no malformed heartbeat. */
+    @Test
+    fun `a rejection without a body is logged only if its body can't be decoded`() {
+        val worker = WorkerClient(http)
+        val commands = SendCommands("i-1", addr, 4, 2, listOf(StartTask(TaskKey("run-1", 0), 1, StartCause.PLACED)))
+
+        fun linesOfRejection(status: Int, body: Fields): List<String> {
+            answer = answerWith(status, body)
+            return linesOfStandardError {
+                assertEquals(CommandOutcome.REFUSED, worker.sendCommands(commands).outcome)
+            }
+        }
+        assertEquals(emptyList<String>(), linesOfRejection(409, emptyMap()))
+        assertEquals(emptyList<String>(), linesOfRejection(400, emptyMap()))
+        val lines = linesOfRejection(409, mapOf("nonsense" to 1))
+        assertTrue(lines.single().contains("could not be decoded"), "$lines")
+    }
+
     @Test
     fun `a peer answers relayed requests and reports the leader, and a peer that is down is skipped`() {
         val status = PeerStatus("n1", leading = true, leader = "n1", isCacheFresh = true)
