Log: a fencing token that was not advanced is not logged as advanced

What operators saw: fencing token advanced to=null where the store had not confirmed it. Cause: the outcome was logged without a look at it. FailedCallTest, with the log captured, failed before with this line.

--- a/src/main/kotlin/glenspool/controller/ActionExecutor.kt
+++ b/src/main/kotlin/glenspool/controller/ActionExecutor.kt
@@ -123,7 +123,11 @@
     private fun advanceToken() =
         run(callPool, onFailure = { post(Event.FencingTokenAdvanced(null)) }) {
             val token = leadership.advanceToken()
-            log.info("fencing token advanced to={}", token)
+            if (token == null) {
+                log.info("fencing token not advanced; it is tried again while starts are unanswered")
+            } else {
+                log.info("fencing token advanced to={}", token)
+            }
             post(Event.FencingTokenAdvanced(token))
         }
 
--- a/src/test/kotlin/glenspool/controller/FailedCallTest.kt
+++ b/src/test/kotlin/glenspool/controller/FailedCallTest.kt
@@ -2,6 +2,7 @@
 
 import glenspool.cloud.CloudClient
 import glenspool.config.StoreLimits
+import glenspool.core.AdvanceFencingToken
 import glenspool.core.CommandOutcome
 import glenspool.core.SendCommands
 import glenspool.core.StoreImageLocations
@@ -16,6 +17,7 @@
 import glenspool.simulation.SchedulerDriver
 import glenspool.simulation.config
 import glenspool.simulation.job
+import glenspool.simulation.linesOfStandardError
 import glenspool.state.KeyValueStoreClient
 import glenspool.state.StoreCache
 import glenspool.worker.CommandReply
@@ -92,6 +94,26 @@
         assertEquals(Event.ImageLocationsNotStored(3, term), events.poll(5, TimeUnit.SECONDS))
     }
 
+    /** Guards against a log line that reports a token where the store has rejected it. */
+    @Test
+    fun `a fencing token that was not advanced is not logged as advanced`() {
+        val term = awaitElection()
+
+        fun linesOfAdvance(): List<String> {
+            val lines =
+                linesOfStandardError {
+                    executor.perform(AdvanceFencingToken, term)
+                    events.poll(5, TimeUnit.SECONDS)
+                }
+            return lines.filter { "fencing token" in it }
+        }
+        assertEquals(listOf("INFO ActionExecutor - fencing token advanced to=2"), linesOfAdvance())
+        state.isDown = true
+        val rejected = linesOfAdvance()
+        assertEquals(emptyList<String>(), rejected.filter { "advanced to=" in it })
+        assertEquals(1, rejected.size)
+    }
+
     @Test
     fun `a call that fails with an exception after its request was sent counts as unanswered`() {
         val ended = perform(sendSingleStart())
