Tests: the loopback service reports the first failure, not a later exit of a controller

LoopbackService documented the first failure, but an exit of a controller replaced it, so that a failed run named the consequence instead of the cause. FirstFailure keeps the first one.

--- a/src/test/kotlin/glenspool/simulation/LoopbackService.kt
+++ b/src/test/kotlin/glenspool/simulation/LoopbackService.kt
@@ -19,7 +19,6 @@
 import glenspool.state.Keys
 import java.io.File
 import java.net.InetSocketAddress
-import java.util.concurrent.atomic.AtomicReference
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -60,10 +59,8 @@
     private val nodes = HashMap<String, Node>()
     private val http = HttpClient(300.milliseconds)
 
-    /** The first failure on any thread. */
-    private val failure = AtomicReference<Throwable>()
-    private val users =
-        LoopbackUsers(history, http, ::anyNode, steadyLoad) { failure.compareAndSet(null, it) }
+    private val failure = FirstFailure()
+    private val users = LoopbackUsers(history, http, ::anyNode, steadyLoad, failure::record)
 
     /** The number of submissions that were answered with a request to retry later. */
     val postponed: Int get() = users.postponed
@@ -80,7 +77,7 @@
         val settings = SettingsReader().read(file)
         val node =
             Node(settings, Tuning(), policy, registry, "build-${registry.highest}", recovery) {
-                failure.set(IllegalStateException("controller $name requested the exit of its process"))
+                failure.record(IllegalStateException("controller $name requested the exit of its process"))
             }
         node.start()
         nodes[name] = node
@@ -148,7 +145,7 @@
     fun await(what: String, limit: Duration = 30.seconds, condition: () -> Boolean) {
         val startedAt = TimeSource.Monotonic.markNow()
         while (!condition()) {
-            failure.get()?.let { throw it }
+            failure.rethrow()
             check(startedAt.elapsedNow() < limit) { "condition not met within $limit: $what" }
             Thread.onSpinWait()
             LoopbackUsers.pause(LoopbackUsers.POLL_INTERVAL)
@@ -162,7 +159,7 @@
     fun finish() {
         users.stopSubmitting()
         await("all accepted jobs have their final states", 60.seconds) { !users.areActive }
-        failure.get()?.let { throw it }
+        failure.rethrow()
     }
 
     override fun close() {
