--- a/src/main/kotlin/glenspool/core/autoscaling/PackingPlan.kt
+++ b/src/main/kotlin/glenspool/core/autoscaling/PackingPlan.kt
@@ -4,6 +4,9 @@
 import glenspool.core.model.JobSpec
 import glenspool.core.model.Resources
 
+/** The largest number of tasks of one job for which a plan looks for machines. */
+internal const val MAX_PLANNED_TASKS_PER_JOB = 400
+
 /** A kind of machine that the cloud offers: a type in a zone, spot or ordinary. */
 data class MachineOffer(val type: String, val zone: String, val spot: Boolean)
 
--- a/src/main/kotlin/glenspool/core/cluster/CommandQueue.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CommandQueue.kt
@@ -115,14 +115,8 @@
         return admitted
     }
 
-    private fun withoutRepeats(commands: List<Command>) =
-        if (commands.size >
-            1
-        ) {
-            commands.distinctBy { it.withoutCause() }
-        } else {
-            commands
-        }
+    private fun withoutRepeats(commands: List<Command>): List<Command> =
+        if (commands.size > 1) commands.distinctBy { it.withoutCause() } else commands
 
     private fun isStillWanted(machine: Machine, command: Command): Boolean {
         if (command !is StartTask) return true
--- a/src/main/kotlin/glenspool/core/cluster/Machine.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Machine.kt
@@ -5,7 +5,6 @@
 import glenspool.core.lifecycle.Job
 import glenspool.core.lifecycle.Placement
 import glenspool.core.model.Heartbeat
-import glenspool.core.model.JobSpec
 import glenspool.core.model.ListedMachine
 import glenspool.core.model.MachineStage
 import glenspool.core.model.MachineType
@@ -230,68 +229,3 @@
         val RESERVATION_TIME = 10.seconds
     }
 }
-
-/** The health of a machine, derived from the outcomes of its tasks. */
-class MachineHealth {
-    private var consecutiveFailures = 0
-    private var quarantinedUntil: Duration? = null
-
-    /** The run time of tasks relative to that on other machines of the type; 1 is usual. */
-    var slowness = 1.0
-        private set
-
-    /** Whether it temporarily gets no work. */
-    fun isQuarantined(now: Duration): Boolean = quarantinedUntil.let { it != null && now < it }
-
-    /** Records a failed task; several failures in a row put the machine into quarantine. */
-    fun taskFailed(now: Duration) {
-        consecutiveFailures++
-        if (consecutiveFailures >= FAILURES_TO_QUARANTINE) quarantinedUntil = now + QUARANTINE_TIME
-    }
-
-    /** Records a completed task; [relativeDuration] is its duration as a multiple of the usual one. */
-    fun taskCompleted(relativeDuration: Double) {
-        consecutiveFailures = 0
-        slowness = slowness * OLD_WEIGHT + relativeDuration.coerceAtMost(MAX_RELATIVE_DURATION) * NEW_WEIGHT
-    }
-
-    private companion object {
-        const val FAILURES_TO_QUARANTINE = 3
-        val QUARANTINE_TIME = 60.seconds
-        const val MAX_RELATIVE_DURATION = 5.0
-
-        /** Weights of the moving average. */
-        const val OLD_WEIGHT = 0.6
-        const val NEW_WEIGHT = 0.4
-    }
-}
-
-/** Whether the constraints of a job allow it to use the machine at all, regardless of other work. */
-fun isAllowed(spec: JobSpec, machine: Machine): Boolean =
-    (spec.types == null || machine.type in spec.types) &&
-        (spec.zone == null || spec.zone == machine.zone) &&
-        (spec.spot || !machine.spot)
-
-/**
- * Whether one more task of the job may run in the zone, counting every task that runs or may run somewhere. Placements
- * and orphans both count, since neither is proved gone. [zoneOf] returns the zone of a machine, or null if it is not
- * known.
- */
-fun isZoneAllowed(job: Job, zone: String, zoneOf: (String) -> String?): Boolean {
-    if (!job.spec.sameZone && !job.spec.spread) return true
-    var inZone = 0
-
-    /** Counts the machine of a task; returns false if its zone excludes [zone] for the job's other tasks. */
-    fun admits(machine: String): Boolean {
-        val taskZone = zoneOf(machine)
-        if (job.spec.sameZone && taskZone != zone) return false
-        // A machine whose zone is not known yet could be in any zone, so it counts against every zone.
-        if (taskZone == null || taskZone == zone) inZone++
-        return true
-    }
-    for (placement in job.placements.values) if (!admits(placement.machine)) return false
-    for (machines in job.orphans.values) {
-        for (machine in machines) if (!admits(machine)) return false
-    }
-    return inZone < job.spec.maxTasksPerZone
-}
--- a/src/main/kotlin/glenspool/core/cluster/MissingTaskHandler.kt
+++ b/src/main/kotlin/glenspool/core/cluster/MissingTaskHandler.kt
@@ -153,17 +153,13 @@
     private fun recordFailure(job: Job, machine: Machine) {
         job.machinesWithFailures.add(machine.id)
         machine.health.taskFailed(now)
-        val machines = job.machinesWithFailures.size
-        // If the job failed on several machines, the job itself is at fault, and must not use up the fleet.
-        val backoff =
-            if (machines <
-                2
-            ) {
-                RETRY_DELAY
-            } else {
-                minOf(MAX_BACKOFF, BASE_BACKOFF * (1 shl minOf(machines, MAX_DOUBLINGS)))
-            }
-        job.retryAfter = now + backoff
+        job.retryAfter = now + backoffAfterFailuresOn(job.machinesWithFailures.size)
+    }
+
+    /** If a job failed on several machines, the job itself is at fault, and must not use up the fleet. */
+    private fun backoffAfterFailuresOn(machines: Int): Duration {
+        if (machines < MACHINES_TO_BACK_OFF) return RETRY_DELAY
+        return minOf(MAX_BACKOFF, BASE_BACKOFF * (1 shl minOf(machines, MAX_DOUBLINGS)))
     }
 
     private companion object {
@@ -172,6 +168,9 @@
         val MAX_BACKOFF = 60.seconds
         const val MAX_DOUBLINGS = 5
 
+        /** From failures on this many machines the delay grows exponentially. */
+        const val MACHINES_TO_BACK_OFF = 2
+
         /** Heartbeat intervals for which critical work waits: a worker sends one in each, give or take a quarter. */
         const val INTERVALS_TO_WAIT_CRITICAL = 1.5
     }
