Scale-out: critical work does not wait half a lease for the room of a worker that has not reported

Its lost tasks wait 1.5 heartbeat intervals; the room on their machine, which counted as upcoming for half a lease, kept a machine from being rented for them. Found in rereading the change. ScaleOutForLateWorkersTest: its third test fails without this (nothing rented within 5 s). The tests of large fleets and of a leader over loopback share their set-up.

--- a/src/main/kotlin/glenspool/core/SchedulerConfig.kt
+++ b/src/main/kotlin/glenspool/core/SchedulerConfig.kt
@@ -1,6 +1,7 @@
 package glenspool.core
 
 import glenspool.core.model.Objective
+import glenspool.core.model.Priority
 import glenspool.core.model.Team
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -37,11 +38,16 @@
     val heartbeatFreshness: Duration get() = heartbeatInterval * FRESH_INTERVALS + FRESHNESS_MARGIN
 
     /**
-     * How long a worker that already answers requests may take to send its first heartbeat to a new leader. It tries
-     * the controllers one after another, and each one that does not respond costs it several seconds.
+     * How long work of this priority waits for the first heartbeat to a new leader of a worker that already answers
+     * requests. The worker tries the controllers one after another, and each one that does not respond costs it several
+     * seconds. Critical work waits only for as long as a worker takes that finds the leader at once.
      */
-    val firstHeartbeatWait: Duration
-        get() = maxOf(lease * FIRST_HEARTBEAT_LEASE_SHARE, heartbeatInterval * MIN_FIRST_HEARTBEAT_INTERVALS)
+    fun firstHeartbeatWait(priority: Priority): Duration =
+        if (priority == Priority.CRITICAL) {
+            heartbeatInterval * CRITICAL_FIRST_HEARTBEAT_INTERVALS
+        } else {
+            maxOf(lease * FIRST_HEARTBEAT_LEASE_SHARE, heartbeatInterval * MIN_FIRST_HEARTBEAT_INTERVALS)
+        }
 
     private companion object {
         /** Allows for one lost heartbeat, and for a delay of each by up to a quarter of the interval. */
@@ -50,5 +56,8 @@
 
         const val FIRST_HEARTBEAT_LEASE_SHARE = 0.5
         const val MIN_FIRST_HEARTBEAT_INTERVALS = 3.0
+
+        /** A worker sends one heartbeat in each interval, give or take a quarter. */
+        const val CRITICAL_FIRST_HEARTBEAT_INTERVALS = 1.5
     }
 }
--- a/src/main/kotlin/glenspool/core/autoscaling/PackingPlan.kt
+++ b/src/main/kotlin/glenspool/core/autoscaling/PackingPlan.kt
@@ -2,6 +2,7 @@
 
 import glenspool.core.ScaleOutCause
 import glenspool.core.model.JobSpec
+import glenspool.core.model.Priority
 import glenspool.core.model.Resources
 
 /** The largest number of tasks of one job for which a plan looks for machines. */
@@ -12,13 +13,15 @@
 
 /**
  * A machine of a packing plan. [cause] is the reason for renting it and [job] the id of the job for which it is rented;
- * both are null for an upcoming machine.
+ * both are null for an upcoming machine. [servesCritical] is false for an upcoming machine that critical work does not
+ * wait for.
  */
 class PlannedMachine(
     val offer: MachineOffer,
     available: Resources,
     val cause: ScaleOutCause? = null,
     val job: String? = null,
+    val servesCritical: Boolean = true,
 ) {
     /** The resources that are not allocated to a planned task. */
     var available: Resources = available
@@ -93,6 +96,7 @@
         val offer = machine.offer
         if (spec.types != null && offer.type !in spec.types) return false
         if (spec.zone != null && spec.zone != offer.zone) return false
+        if (spec.priority == Priority.CRITICAL && !machine.servesCritical) return false
         return (spec.spot || !offer.spot) && admits(offer.zone)
     }
 }
--- a/src/main/kotlin/glenspool/core/autoscaling/ScaleOutPlanner.kt
+++ b/src/main/kotlin/glenspool/core/autoscaling/ScaleOutPlanner.kt
@@ -6,6 +6,7 @@
 import glenspool.core.cluster.Machine
 import glenspool.core.lifecycle.Job
 import glenspool.core.model.JobKind
+import glenspool.core.model.Priority
 import glenspool.core.placement.DeadlinePolicy
 import kotlin.time.Duration
 
@@ -36,7 +37,8 @@
             val type = cluster.typeOf(machine) ?: continue
             if (!isUpcoming(machine)) continue
             val offer = MachineOffer(machine.type, machine.zone, machine.spot)
-            plan.add(PlannedMachine(offer, machine.available(type)))
+            val servesCritical = !machine.isTrusted || awaitsHeartbeat(machine, Priority.CRITICAL)
+            plan.add(PlannedMachine(offer, machine.available(type), servesCritical = servesCritical))
         }
         for (request in requests.unanswered) {
             val type = cluster.types[request.type] ?: continue
@@ -60,9 +62,12 @@
         if (!context.hooks.newWorkRequiresWorkerHeartbeat || machine.isLeaving || machine.isCordoned) return false
         val reachability = machine.reachability
         return !reachability.sentHeartbeatWithin(context.config.heartbeatFreshness, now) &&
-            reachability.awaitsHeartbeat(context.config.firstHeartbeatWait, now)
+            awaitsHeartbeat(machine, Priority.STANDARD)
     }
 
+    private fun awaitsHeartbeat(machine: Machine, priority: Priority): Boolean =
+        machine.reachability.awaitsHeartbeat(context.config.firstHeartbeatWait(priority), now)
+
     /** Packs the tasks of a service or gang, for which machines are rented as soon as there are none to take them. */
     private fun packAllTasks(job: Job, plan: PackingPlan) {
         val quota = cluster.quotas.remaining(job)
--- a/src/main/kotlin/glenspool/core/cluster/MissingTaskHandler.kt
+++ b/src/main/kotlin/glenspool/core/cluster/MissingTaskHandler.kt
@@ -8,7 +8,6 @@
 import glenspool.core.lifecycle.Placement
 import glenspool.core.model.ExitReason
 import glenspool.core.model.JobKind
-import glenspool.core.model.Priority
 import glenspool.core.model.StartTask
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -76,15 +75,8 @@
 
     /** Whether the obstacle is expected to end soon. The wait is bounded, and shorter for critical work. */
     private fun isTemporary(obstacle: Obstacle, machine: Machine, job: Job): Boolean {
-        val isCritical = job.effectivePriority == Priority.CRITICAL
-        val longestWait =
-            if (isCritical) {
-                context.config.heartbeatInterval * INTERVALS_TO_WAIT_CRITICAL
-            } else {
-                context.config.firstHeartbeatWait
-            }
         // Heartbeats may be waiting in this process.
-        val span = longestWait + overload.backlog
+        val span = context.config.firstHeartbeatWait(job.effectivePriority) + overload.backlog
         return when (obstacle) {
             Obstacle.NO_WORKER_HEARTBEAT -> machine.reachability.awaitsHeartbeat(span, now)
             Obstacle.UNREACHABLE -> !machine.reachability.isUnreachableFor(span, now)
@@ -120,7 +112,8 @@
             val reachability = machine.reachability
             "missing-task task=$placement class=${placement.job.spec.jobClass} machine=${machine.id} " +
                 "decision=${decision.label} obstacle=${obstacle?.label} waited=${since(placement.awaitsMachineSince)} " +
-                "heartbeat-age=${since(reachability.lastHeartbeatAt)} only-replies-for=${since(reachability.onlyRepliesSince)} " +
+                "heartbeat-age=${since(reachability.lastHeartbeatAt)} " +
+                "only-replies-for=${since(reachability.onlyRepliesSince)} " +
                 "unreachable-for=${since(reachability.unreachableSince)} incarnation=${machine.incarnation} " +
                 "cordoned=${machine.isCordoned} failures=${placement.job.machinesWithFailures.size} " +
                 context.hooks.logFields()
@@ -169,9 +162,5 @@
         const val MAX_DOUBLINGS = 5
 
         /** From failures on this many machines the delay grows exponentially. */
-        const val MACHINES_TO_BACK_OFF = 2
-
-        /** Heartbeat intervals for which critical work waits: a worker sends one in each, give or take a quarter. */
-        const val INTERVALS_TO_WAIT_CRITICAL = 1.5
-    }
+        const val MACHINES_TO_BACK_OFF = 2    }
 }
--- a/src/test/kotlin/glenspool/controller/FailedCallTest.kt
+++ b/src/test/kotlin/glenspool/controller/FailedCallTest.kt
@@ -11,22 +11,18 @@
 import glenspool.core.model.TaskState
 import glenspool.core.model.Team
 import glenspool.http.HttpClient
-import glenspool.http.HttpListener
 import glenspool.rollout.UnmanagedFeatures
-import glenspool.simulation.InMemoryStore
+import glenspool.simulation.LoopbackLeader
 import glenspool.simulation.SchedulerDriver
 import glenspool.simulation.config
 import glenspool.simulation.job
 import glenspool.simulation.linesOfStandardError
-import glenspool.state.KeyValueStoreClient
-import glenspool.state.StoreCache
 import glenspool.worker.CommandReply
 import glenspool.worker.WorkerCalls
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Test
-import java.net.InetSocketAddress
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
@@ -50,45 +46,33 @@
         override fun probe(addr: String): Heartbeat? = null
     }
 
-    private val state = InMemoryStore()
-    private val listener = HttpListener(InetSocketAddress("127.0.0.1", 0), "state", 8, state::serve)
-    private val http = HttpClient(2.seconds)
-    private val client = KeyValueStoreClient("127.0.0.1:${listener.port}", http)
-    private val cache = StoreCache(client, 1000.0) { _, _ -> }
-    private val elected = LinkedBlockingQueue<Term>()
+    private val leader = LoopbackLeader()
+    private val state = leader.state
     private val events = LinkedBlockingQueue<Event>()
-    private val leadership = Leadership("a", "boot", client, cache, { elected.add(it) }, {})
     private val workers = FailingWorkers()
+    private val limits = StoreLimits(1000.0, 1000.0, 4096, 8)
     private val writer =
-        StoreWriter(StoreLimits(1000.0, 1000.0, 4096, 8), client, cache, leadership, UnmanagedFeatures { true }) { _, _ ->
-        }
-    private val cloud = CloudClient("127.0.0.1:${listener.port}", http, 1000.0)
-    private val executor = ActionExecutor(leadership, client, cloud, workers, writer, 1.seconds) { events.add(it) }
-    private val threads =
-        ServiceThreads({}).also { threads ->
-            threads.start("syncs") { cache.serveSyncs() }
-            threads.start("leadership") { leadership.run() }
-        }
+        StoreWriter(limits, leader.client, leader.cache, leader.leadership, UnmanagedFeatures { true }) { _, _ -> }
+    private val cloud = CloudClient(leader.storeAddress, HttpClient(2.seconds), 1000.0)
+    private val executor =
+        ActionExecutor(leader.leadership, leader.client, cloud, workers, writer, 1.seconds) { events.add(it) }
 
     @AfterEach
     fun close() {
-        threads.close()
         executor.close()
-        listener.close()
+        leader.close()
     }
 
-    private fun awaitElection(): Term = checkNotNull(elected.poll(5, TimeUnit.SECONDS)) { "not elected" }
-
     /** Carries out the request with [FailingWorkers], and returns the event that the core receives. */
     private fun perform(request: SendCommands): Event.CommandsEnded {
-        executor.perform(request, awaitElection())
+        executor.perform(request, leader.awaitElection())
         return events.poll(5, TimeUnit.SECONDS) as Event.CommandsEnded
     }
 
     /** Guards against image locations that are never stored again after a failed write. */
     @Test
     fun `the core learns that image locations were not stored`() {
-        val term = awaitElection()
+        val term = leader.awaitElection()
         state.isDown = true
         executor.perform(StoreImageLocations(3, emptyMap()), term)
         assertEquals(Event.ImageLocationsNotStored(3, term), events.poll(5, TimeUnit.SECONDS))
@@ -97,7 +81,7 @@
     /** Guards against a log line that reports a token where the store has rejected it. */
     @Test
     fun `a fencing token that was not advanced is not logged as advanced`() {
-        val term = awaitElection()
+        val term = leader.awaitElection()
 
         fun linesOfAdvance(): List<String> {
             val lines =
--- a/src/test/kotlin/glenspool/controller/StoreWriterTest.kt
+++ b/src/test/kotlin/glenspool/controller/StoreWriterTest.kt
@@ -6,24 +6,18 @@
 import glenspool.core.UpdateJobRecord
 import glenspool.core.model.JobRecord
 import glenspool.core.model.StoredPlacement
-import glenspool.http.HttpClient
-import glenspool.http.HttpListener
 import glenspool.rollout.FeaturePermits
 import glenspool.rollout.WritePermit
-import glenspool.simulation.InMemoryStore
+import glenspool.simulation.LoopbackLeader
 import glenspool.simulation.job
-import glenspool.state.KeyValueStoreClient
-import glenspool.state.StoreCache
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
-import java.net.InetSocketAddress
 import java.util.BitSet
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /** Guards against a write whose outcome the core never learns, so that it waits for it and stores nothing any more. */
 class StoreWriterTest {
@@ -37,27 +31,15 @@
         }
     }
 
-    private val store = InMemoryStore()
-    private val listener = HttpListener(InetSocketAddress("127.0.0.1", 0), "state", 8, store::serve)
-    private val client = KeyValueStoreClient("127.0.0.1:${listener.port}", HttpClient(2.seconds))
-    private val cache = StoreCache(client, 1000.0) { _, _ -> }
-    private val elected = LinkedBlockingQueue<Term>()
+    private val leader = LoopbackLeader()
     private val outcomes = LinkedBlockingQueue<StoreOutcome>()
-    private val leadership = Leadership("a", "boot", client, cache, { elected.add(it) }, {})
     private val writer =
-        StoreWriter(LIMITS, client, cache, leadership, FailingPermits(1)) { outcome, _ -> outcomes.add(outcome) }
-    private val threads =
-        ServiceThreads({}).also { threads ->
-            threads.start("syncs") { cache.serveSyncs() }
-            threads.start("leadership") { leadership.run() }
-            threads.start("writer") { writer.run() }
+        StoreWriter(LIMITS, leader.client, leader.cache, leader.leadership, FailingPermits(1)) { outcome, _ ->
+            outcomes.add(outcome)
         }
 
     @AfterEach
-    fun close() {
-        threads.close()
-        listener.close()
-    }
+    fun close() = leader.close()
 
     private fun write(term: Term): StoreOutcome? {
         val parts = mapOf(0 to listOf(StoredPlacement(2, 3, "i-2")))
@@ -69,7 +51,8 @@
 
     @Test
     fun `a write that fails with an exception ends as unknown, and the next one is stored`() {
-        val term = checkNotNull(elected.poll(5, TimeUnit.SECONDS)) { "not elected" }
+        leader.startThread("writer") { writer.run() }
+        val term = leader.awaitElection()
         assertEquals(StoreOutcome.Unknown, write(term))
         assertTrue(write(term) is StoreOutcome.Stored)
     }
--- a/src/test/kotlin/glenspool/core/LargeFleet.kt
+++ b/src/test/kotlin/glenspool/core/LargeFleet.kt
@@ -3,6 +3,8 @@
 import glenspool.core.model.Heartbeat
 import glenspool.core.model.JobRecord
 import glenspool.core.model.JobSpec
+import glenspool.core.model.ListedMachine
+import glenspool.core.model.MachineStage
 import glenspool.core.model.Priority
 import glenspool.core.model.Resources
 import glenspool.core.model.StartTask
@@ -93,6 +95,24 @@
         }
     }
 
+    /** Lists the machines, each of which runs a task that needs all of it. */
+    fun startFull(machines: List<String>) {
+        step { machineTypesRead(listOf(bigType)) }
+        machines.chunked(8).forEachIndexed { number, machinesOfJob ->
+            val wholeMachine = Resources(14.0, 4.0, 50.0)
+            val spec = job("j$number", tasks = 8, resourceRequest = wholeMachine, estimatedDuration = 1000.seconds)
+            submitRunning(spec, machinesOfJob)
+        }
+        list(machines)
+    }
+
+    /** Delivers a list of the cloud with these machines. */
+    fun list(machines: List<String>) {
+        val listed =
+            machines.map { ListedMachine(it, "addr-$it", "big", "a", false, MachineStage.RUNNING, 100.seconds) }
+        step { machinesListed(listed) }
+    }
+
     /** Simulates half a minute with twice as many tasks as fit, each of which takes a quarter of a machine. */
     fun fill(machines: Int, jobs: Int) {
         step { machineTypesRead(listOf(bigType)) }
--- a/src/test/kotlin/glenspool/core/ScaleOutForLateWorkersTest.kt
+++ b/src/test/kotlin/glenspool/core/ScaleOutForLateWorkersTest.kt
@@ -1,5 +1,6 @@
 package glenspool.core
 
+import glenspool.core.model.Priority
 import glenspool.simulation.bigType
 import glenspool.simulation.config
 import glenspool.simulation.job
@@ -27,11 +28,12 @@
         return actions
     }
 
-    private fun submitToSilentWorker() {
+    /** Submits a job while the worker of the only machine has answered requests for a second. */
+    private fun submitToSilentWorker(priority: Priority = Priority.STANDARD) {
         step { machineTypesRead(listOf(bigType)) }
         step { probeEnded("m1", heartbeat("m1")) }
         answerProbesFor(1.seconds)
-        submit(job("a", tasks = 4, estimatedDuration = 100.seconds))
+        submit(job("a", tasks = 4, estimatedDuration = 100.seconds, priority = priority))
     }
 
     @Test
@@ -49,4 +51,11 @@
         val scaleOuts = answerProbesFor(wait + 3.seconds).scaleOuts()
         assertTrue(scaleOuts.sumOf { it.count } == 1, "$scaleOuts")
     }
+
+    @Test
+    fun `a machine is rented sooner for critical work`() {
+        submitToSilentWorker(Priority.CRITICAL)
+        val scaleOuts = answerProbesFor(wait / 2 + 1.seconds).scaleOuts()
+        assertTrue(scaleOuts.sumOf { it.count } == 1, "$scaleOuts")
+    }
 }
--- a/src/test/kotlin/glenspool/reconcile/LargeFleetRecoveryTest.kt
+++ b/src/test/kotlin/glenspool/reconcile/LargeFleetRecoveryTest.kt
@@ -1,12 +1,7 @@
 package glenspool.reconcile
 
 import glenspool.core.LargeFleet
-import glenspool.core.model.ListedMachine
-import glenspool.core.model.MachineStage
-import glenspool.core.model.Resources
-import glenspool.simulation.bigType
 import glenspool.simulation.config
-import glenspool.simulation.job
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import kotlin.time.Duration
@@ -25,23 +20,15 @@
         val engine = RecoveryEngine(RecoveryPolicy(), timings, LargeFleet.TOKEN, Duration.ZERO, StartKind.COLD)
         val fleet = LargeFleet(engine.hooks)
         val names = (1..machines).map { "m$it" }
-        fleet.step { machineTypesRead(listOf(bigType)) }
-        names.chunked(8).forEachIndexed { number, machinesOfJob ->
-            val wholeMachine = Resources(14.0, 4.0, 50.0)
-            val spec = job("j$number", tasks = 8, resourceRequest = wholeMachine, estimatedDuration = 1000.seconds)
-            fleet.submitRunning(spec, machinesOfJob)
-        }
-        val listed = names.map { ListedMachine(it, "addr-$it", "big", "a", false, MachineStage.RUNNING, 100.seconds) }
+        fleet.startFull(names)
         val tick = 250.milliseconds
         val groups = names.chunked(machines / (config().heartbeatInterval / tick).toInt())
         var ticks = 0
         while (fleet.now < limit) {
             fleet.now += tick
             groups[ticks++ % groups.size].forEach(fleet::sendHeartbeat)
-            fleet.step {
-                machinesListed(listed)
-                tick()
-            }
+            fleet.list(names)
+            fleet.step { tick() }
             engine.tick(fleet.now)
             if (!engine.isActive) return fleet.now
         }
--- a/src/test/kotlin/glenspool/reconcile/LateWorkersTest.kt
+++ b/src/test/kotlin/glenspool/reconcile/LateWorkersTest.kt
@@ -5,8 +5,6 @@
 import glenspool.core.OrderKind
 import glenspool.core.StartCause
 import glenspool.core.model.JobKind
-import glenspool.core.model.ListedMachine
-import glenspool.core.model.MachineStage
 import glenspool.core.model.Priority
 import glenspool.core.model.Resources
 import glenspool.simulation.ClusterSimulation
@@ -197,16 +195,9 @@
         val engine = RecoveryEngine(policy, timings, LargeFleet.TOKEN, Duration.ZERO, StartKind.COLD)
         val fleet = LargeFleet(engine.hooks)
         val names = (1..machines).map { "m$it" }
-        fleet.step { machineTypesRead(listOf(bigType)) }
-        names.chunked(8).forEachIndexed { number, machinesOfJob ->
-            val wholeMachine = Resources(14.0, 4.0, 50.0)
-            val spec = job("j$number", tasks = 8, resourceRequest = wholeMachine, estimatedDuration = 1000.seconds)
-            fleet.submitRunning(spec, machinesOfJob)
-        }
+        fleet.startFull(names)
         val (late, punctual) = names.partition { it.endsWith("3") }
         late.forEach { fleet.tasksByMachine.getValue(it).clear() }
-        val listed = names.map { ListedMachine(it, "addr-$it", "big", "a", false, MachineStage.RUNNING, 100.seconds) }
-        fleet.step { machinesListed(listed) }
         while (fleet.now < 14.seconds) {
             fleet.now += 250.milliseconds
             val isHeartbeatDue = fleet.now.inWholeMilliseconds % config().heartbeatInterval.inWholeMilliseconds == 0L
