--- a/src/main/kotlin/glenspool/api/DescriptionPartWriter.kt
+++ b/src/main/kotlin/glenspool/api/DescriptionPartWriter.kt
@@ -27,8 +27,8 @@
     }
 
     /**
-     * Stores all parts, in as many transactions as the store's limits require. As soon as one of them is not stored, the
-     * submission has failed: a record must never be stored without all of its parts.
+     * Stores all parts, in as many transactions as the store's limits require. As soon as one of them is not stored,
+     * the submission has failed: a record must never be stored without all of its parts.
      */
     fun write(record: JobRecord, retry: StoreRetry): Result {
         val versions = LinkedHashMap<String, Long>()
--- a/src/main/kotlin/glenspool/core/cluster/MissingTaskHandler.kt
+++ b/src/main/kotlin/glenspool/core/cluster/MissingTaskHandler.kt
@@ -111,7 +111,8 @@
         context.log(isImportant = isRecoveryInProgress && decision == Decision.REPLACE) {
             val reachability = machine.reachability
             "missing-task task=$placement class=${placement.job.spec.jobClass} machine=${machine.id} " +
-                "decision=${decision.label} obstacle=${obstacle?.label} waited=${since(placement.awaitsMachineSince)} " +
+                "decision=${decision.label} obstacle=${obstacle?.label} " +
+                "waited=${since(placement.awaitsMachineSince)} " +
                 "heartbeat-age=${since(reachability.lastHeartbeatAt)} " +
                 "only-replies-for=${since(reachability.onlyRepliesSince)} " +
                 "unreachable-for=${since(reachability.unreachableSince)} incarnation=${machine.incarnation} " +
@@ -162,5 +163,6 @@
         const val MAX_DOUBLINGS = 5
 
         /** From failures on this many machines the delay grows exponentially. */
-        const val MACHINES_TO_BACK_OFF = 2    }
+        const val MACHINES_TO_BACK_OFF = 2
+    }
 }
--- a/src/main/kotlin/glenspool/core/cluster/Reachability.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Reachability.kt
@@ -42,7 +42,7 @@
     /** Whether a heartbeat that its worker sent without a request was received within [span]. */
     fun sentHeartbeatWithin(span: Duration, now: Duration): Boolean = lastHeartbeatAt.isWithin(span, now)
 
-    /** Whether its worker, which answers requests, is expected to send a heartbeat: for [span] after the first reply. */
+    /** Whether its worker answers requests and may still send a heartbeat, for which it has [span] after a reply. */
     fun awaitsHeartbeat(span: Duration, now: Duration): Boolean = onlyRepliesSince.isWithin(span, now)
 
     /** Whether a request was answered within [span]. */
--- a/src/test/kotlin/glenspool/api/SplitSubmissionFaultsTest.kt
+++ b/src/test/kotlin/glenspool/api/SplitSubmissionFaultsTest.kt
@@ -76,7 +76,7 @@
     }
 
     @Test
-    fun `a conflict at the first or the last parts of a submission gets 503, and the repeated submission the state of the accepted job`() {
+    fun `a conflict at any part of a submission gets 503, and its repetition the accepted job's state`() {
         val partsPerTransaction = settings.storeLimits.effective.txnOps
         for (part in listOf(0, partsPerTransaction)) {
             state.transact(emptyMap(), emptyList(), listOf(jobKey))
--- a/src/test/kotlin/glenspool/reconcile/LargeFleetRecoveryTest.kt
+++ b/src/test/kotlin/glenspool/reconcile/LargeFleetRecoveryTest.kt
@@ -6,7 +6,6 @@
 import org.junit.jupiter.api.Test
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Guards against a recovery that never admits destructive orders, because a large fleet's heartbeats arrive faster than
