--- a/src/main/kotlin/glenspool/core/autoscaling/PackingPlan.kt
+++ b/src/main/kotlin/glenspool/core/autoscaling/PackingPlan.kt
@@ -35,8 +35,8 @@
 
 /**
  * Bin packing of waiting tasks onto upcoming machines and machines to rent. Upcoming machines have been rented or
- * requested, but are not ready for work yet. [machinesInZone] is the number of existing machines by zone, [waitingTasks]
- * the number of tasks that wait for a placement.
+ * requested, but are not ready for work yet. [machinesInZone] is the number of existing machines by zone,
+ * [waitingTasks] the number of tasks that wait for a placement.
  */
 class PackingPlan(private val machinesInZone: Map<String, Int>, val waitingTasks: Int) {
     private val planned = ArrayList<PlannedMachine>()
