--- a/src/test/kotlin/glenspool/core/WaitForRestoreTest.kt
+++ b/src/test/kotlin/glenspool/core/WaitForRestoreTest.kt
@@ -89,7 +89,7 @@
         submitWithStoredPlacement()
         answerProbesFor(wait - 1.seconds)
         step { backlogMeasured(3.seconds) }
-        answerProbesFor(2.seconds)
+        answerProbesFor(3.seconds)
         assertEquals(true, isPlaced())
     }
 
