Log: on what grounds workers' leases are renewed without a leader

Three causes were possible: controllers that know no cancellations renew the lease, a controller that came back is given a wrong claim of completeness by another one, or a leader renews it. Nothing that was logged could tell them apart.

`leases decision= cancellations-age= uptime= machine=` (info, on a change) and `lease machine= decision=` (debug) name the decision of each answer; the decision is a typed value instead of a boolean. No decision changes.

--- /dev/null
+++ b/src/main/kotlin/glenspool/api/LeaseDecision.kt
@@ -0,0 +1,19 @@
+package glenspool.api
+
+/** What a node that knows no leader does with a worker's lease, and why. */
+enum class LeaseDecision(val isRenewed: Boolean) {
+    /** The lease ends before the deadline of any cancellation that the node may not have received. */
+    RENEWED(true),
+
+    /** The node knows no cancellations yet, and relies on the node that renewed the lease last. */
+    RENEWED_UNREAD(true),
+
+    /** The node knows no cancellations, because it has neither read the key-value store nor reached a node that has. */
+    REFUSED_UNREAD(false),
+
+    /** The lease could outlast the deadline of a cancellation that the node has not received. */
+    REFUSED_OUTDATED(false),
+
+    /** The node is isolated, and the worker may find a leader at another node. */
+    REFUSED_ONCE(false),
+}
--- a/src/main/kotlin/glenspool/api/LeaseRenewalPolicy.kt
+++ b/src/main/kotlin/glenspool/api/LeaseRenewalPolicy.kt
@@ -47,24 +47,31 @@
     }
 
     /**
-     * Returns whether to renew the worker's lease.
+     * Returns whether to renew the worker's lease, and why.
      *
      * @param cancellationsCompleteUntil the moment up to which this node has received every confirmed cancellation, or
      *   null if it can't determine that moment (see `Cancellations`)
      * @param isIsolated whether this node has lost the key-value store and every other node
      */
-    fun renewsLease(machine: String, cancellationsCompleteUntil: Duration?, isIsolated: Boolean): Boolean {
+    fun decide(machine: String, cancellationsCompleteUntil: Duration?, isIsolated: Boolean): LeaseDecision {
         val now = uptime()
+        val isUnread = cancellationsCompleteUntil == null
         return when {
-            now >= renewalDeadline(cancellationsCompleteUntil) -> false
-            cancellationsCompleteUntil == null || !isIsolated || !mayRefuseOnce() -> true
-            // A worker that was not answered here recently found no leader at another node and used up much of its
-            // lease there, so it is not refused.
-            wasAnsweredRecently(machine, now) -> refusedWorkers.asMap().putIfAbsent(machine, true) != null
-            else -> true
+            now >= renewalDeadline(cancellationsCompleteUntil) ->
+                if (isUnread) LeaseDecision.REFUSED_UNREAD else LeaseDecision.REFUSED_OUTDATED
+            isUnread -> LeaseDecision.RENEWED_UNREAD
+            isIsolated && mayRefuseOnce() && isFirstRefusal(machine, now) -> LeaseDecision.REFUSED_ONCE
+            else -> LeaseDecision.RENEWED
         }
     }
 
+    /**
+     * Returns whether an isolated node refuses the worker now, which it does once per lease. A worker that was not
+     * answered here recently found no leader at another node and used up much of its lease there, so it is not refused.
+     */
+    private fun isFirstRefusal(machine: String, now: Duration): Boolean =
+        wasAnsweredRecently(machine, now) && refusedWorkers.asMap().putIfAbsent(machine, true) == null
+
     /**
      * Returns the moment from which on a renewed lease could outlast the deadline of a cancellation that this node has
      * not received.
--- a/src/main/kotlin/glenspool/api/WorkerApi.kt
+++ b/src/main/kotlin/glenspool/api/WorkerApi.kt
@@ -27,6 +27,7 @@
  */
 class WorkerApi(settings: Settings, private val node: NodeState, private val core: HeartbeatReceiver) : AsyncHandler {
     private val leaseRenewal = LeaseRenewalPolicy(settings.workers, settings.members.size, node::uptime)
+    private val decisionLog = LeaseDecisionLog(node::uptime)
     private val redirectLimiter = RedirectLimiter(settings.workers.lease, node::uptime)
     private val heartbeats = AtomicLong()
 
@@ -75,7 +76,9 @@
 
     private fun renewsLease(heartbeat: Heartbeat): Boolean {
         val cancellationsCompleteUntil = node.cancellations.completeUpTo()
-        return leaseRenewal.renewsLease(heartbeat.machine, cancellationsCompleteUntil, node.isolated())
+        val decision = leaseRenewal.decide(heartbeat.machine, cancellationsCompleteUntil, node.isolated())
+        decisionLog.record(heartbeat.machine, decision, cancellationsCompleteUntil)
+        return decision.isRenewed
     }
 
     private fun answer(heartbeat: Heartbeat, token: Long, commands: List<Command>): Response {
--- a/src/test/kotlin/glenspool/api/LeaseRenewalPolicyTest.kt
+++ b/src/test/kotlin/glenspool/api/LeaseRenewalPolicyTest.kt
@@ -26,18 +26,18 @@
     }
 
     private fun LeaseRenewalPolicy.renewsIsolated(machine: String): Boolean =
-        renewsLease(
+        decide(
             machine,
             cancellationsCompleteUntil = now,
             isIsolated = true,
-        )
+        ).isRenewed
 
     private fun LeaseRenewalPolicy.renewsConnected(machine: String, cancellationsCompleteUntil: Duration?): Boolean =
-        renewsLease(
+        decide(
             machine,
             cancellationsCompleteUntil,
             isIsolated = false,
-        )
+        ).isRenewed
 
     @Test
     fun `an isolated node refuses each worker once per lease, and renews the lease if the worker returns`() {
--- a/src/test/kotlin/glenspool/simulation/CancellationNode.kt
+++ b/src/test/kotlin/glenspool/simulation/CancellationNode.kt
@@ -152,7 +152,7 @@
     /** Returns whether the node, which knows of no leader, renews the worker's lease. */
     internal fun renewsLease(worker: LeaseHolder): Boolean {
         if (isOldVersion) return true
-        return leases.renewsLease(worker.name, cancellations.completeUpTo(), isIsolated)
+        return leases.decide(worker.name, cancellations.completeUpTo(), isIsolated).isRenewed
     }
 
     /**
