Leases: a controller that knows no cancellations renews none

Cause: LeaseRenewalPolicy allowed a controller that had read nothing to renew leases for cancel_s less two leases and 3 s after its own start. It took a lease that had not expired as proof that a controller with knowledge had answered within the last lease; the one that had answered was another controller without knowledge, or one that had been cut off.

Why it works: a lease is now renewed only by what the controller itself knows, up to the moment m: t < m + cancel_s - lease_s - 1 s.

--- a/src/main/kotlin/glenspool/api/LeaseDecision.kt
+++ b/src/main/kotlin/glenspool/api/LeaseDecision.kt
@@ -5,9 +5,6 @@
     /** The lease ends before the deadline of any cancellation that the node may not have received. */
     RENEWED(true),
 
-    /** The node knows no cancellations yet, and relies on the node that renewed the lease last. */
-    RENEWED_UNREAD(true),
-
     /** The node knows no cancellations, because it has neither read the key-value store nor reached a node that has. */
     REFUSED_UNREAD(false),
 
--- a/src/main/kotlin/glenspool/api/LeaseRenewalPolicy.kt
+++ b/src/main/kotlin/glenspool/api/LeaseRenewalPolicy.kt
@@ -47,7 +47,8 @@
     }
 
     /**
-     * Returns whether to renew the worker's lease, and why.
+     * Returns whether to renew the worker's lease, and why. The decision depends on what this node itself knows. That
+     * the worker's lease has not expired only shows that some node renewed it, which may have known as little.
      *
      * @param cancellationsCompleteUntil the moment up to which this node has received every confirmed cancellation, or
      *   null if it can't determine that moment (see `Cancellations`)
@@ -55,11 +56,9 @@
      */
     fun decide(machine: String, cancellationsCompleteUntil: Duration?, isIsolated: Boolean): LeaseDecision {
         val now = uptime()
-        val isUnread = cancellationsCompleteUntil == null
         return when {
-            now >= renewalDeadline(cancellationsCompleteUntil) ->
-                if (isUnread) LeaseDecision.REFUSED_UNREAD else LeaseDecision.REFUSED_OUTDATED
-            isUnread -> LeaseDecision.RENEWED_UNREAD
+            cancellationsCompleteUntil == null -> LeaseDecision.REFUSED_UNREAD
+            now >= renewalDeadline(cancellationsCompleteUntil) -> LeaseDecision.REFUSED_OUTDATED
             isIsolated && mayRefuseOnce() && isFirstRefusal(machine, now) -> LeaseDecision.REFUSED_ONCE
             else -> LeaseDecision.RENEWED
         }
@@ -74,20 +73,12 @@
 
     /**
      * Returns the moment from which on a renewed lease could outlast the deadline of a cancellation that this node has
-     * not received.
+     * not received: a lease renewed now may last its full length, and a task cancelled just after
+     * [cancellationsCompleteUntil] must have stopped by its deadline.
      */
-    private fun renewalDeadline(cancellationsCompleteUntil: Duration?): Duration =
-        if (cancellationsCompleteUntil == null) {
-            // The node has read nothing yet. Since the worker's lease has not expired, it was answered within the last
-            // lease by a node that had all cancellations up to that time, so that only newer cancellations may still
-            // have to be carried out.
-            workers.cancellationDeadline - workers.lease * 2 - UNREAD_STORE_MARGIN
-        } else {
-            // A lease renewed now may last its full length, and a task cancelled just after cancellationsCompleteUntil
-            // must have stopped by its deadline.
-            cancellationsCompleteUntil + workers.cancellationDeadline * (1 - DRIFT_ALLOWANCE) - workers.lease -
-                ANSWER_MARGIN
-        }
+    private fun renewalDeadline(cancellationsCompleteUntil: Duration): Duration =
+        cancellationsCompleteUntil + workers.cancellationDeadline * (1 - DRIFT_ALLOWANCE) - workers.lease -
+            ANSWER_MARGIN
 
     private fun wasAnsweredRecently(machine: String, now: Duration): Boolean {
         val answeredAt = lastAnsweredAt[machine] ?: return false
@@ -111,9 +102,6 @@
         /** Twice the relative drift that the worker's clock and this node's clock may have. */
         const val DRIFT_ALLOWANCE = 0.001
 
-        /** Covers how outdated the cancellations of the node that answered last may have been, and late timers. */
-        val UNREAD_STORE_MARGIN = 3.seconds
-
         /** Covers the time from the decision to the answer, and late timers. */
         val ANSWER_MARGIN = 1.seconds
 
--- a/src/test/kotlin/glenspool/api/LeaseRenewalPolicyTest.kt
+++ b/src/test/kotlin/glenspool/api/LeaseRenewalPolicyTest.kt
@@ -104,16 +104,16 @@
     }
 
     @Test
-    fun `a node without cancellation data renews leases only while the deadline leaves time for two leases`() {
-        // A cancellation has a deadline of 49 s, of which two leases of 24 s and the margin leave no time.
-        val policy = policy()
-        assertFalse(policy.renewsConnected("m1", cancellationsCompleteUntil = null))
-        assertTrue(policy.renewsConnected("m1", cancellationsCompleteUntil = now))
-        val shortLease = policy(lease = 14.seconds)
-        now = 17.seconds
-        assertTrue(shortLease.renewsConnected("m1", cancellationsCompleteUntil = null))
-        now = 18.seconds
-        assertFalse(shortLease.renewsConnected("m1", cancellationsCompleteUntil = null))
+    fun `a node without cancellation data renews no lease, however short the leases are`() {
+        for (lease in listOf(24.seconds, 14.seconds, 1.seconds)) {
+            val policy = policy(lease)
+            now = Duration.ZERO
+            repeat(60) {
+                assertFalse(policy.renewsConnected("m1", cancellationsCompleteUntil = null), "lease $lease at $now")
+                now += 500.milliseconds
+            }
+            assertTrue(policy.renewsConnected("m1", cancellationsCompleteUntil = now))
+        }
     }
 
     @Test
--- a/src/test/kotlin/glenspool/simulation/CancellationNode.kt
+++ b/src/test/kotlin/glenspool/simulation/CancellationNode.kt
@@ -28,6 +28,9 @@
     /** Whether the node runs the version in production, which exchanges no cancellations and renews every lease. */
     var isOldVersion = false
 
+    /** Whether no worker reaches the node. */
+    var isCutFromWorkers = false
+
     internal lateinit var cancellations: Cancellations
         private set
     internal lateinit var leases: LeaseRenewalPolicy
@@ -120,7 +123,7 @@
         val isLost = simulation.chance(simulation.messageLoss)
         // A partition may delay a message and deliver it when its sender no longer waits for the reply.
         if (simulation.now < partitionedUntil || simulation.now < other.partitionedUntil || isLost) {
-            if (simulation.chance(0.5)) {
+            if (simulation.deliversLateMessages && simulation.chance(0.5)) {
                 simulation.after(simulation.random.nextInt(60).seconds) { other.receive(this, update) }
             }
             return
--- a/src/test/kotlin/glenspool/simulation/CancellationSimulation.kt
+++ b/src/test/kotlin/glenspool/simulation/CancellationSimulation.kt
@@ -33,6 +33,9 @@
     /** The simulated time until which the store answers reads only after seconds. */
     var storeSlowUntil = Duration.ZERO
 
+    /** Whether messages that a partition held back, or that were lost, may be delivered up to a minute later. */
+    var deliversLateMessages = true
+
     /** The time at which the cancellation of a job was first confirmed to its user, by job. */
     val confirmed = LinkedHashMap<String, Duration>()
     val violations = ArrayList<String>()
--- a/src/test/kotlin/glenspool/simulation/LeaseHolder.kt
+++ b/src/test/kotlin/glenspool/simulation/LeaseHolder.kt
@@ -7,6 +7,9 @@
     /** Index of the node to which the worker sends its heartbeats. */
     var nodeIndex = initialNode
     val jobs = HashSet<String>()
+
+    /** The simulated time until which the worker reaches no node. */
+    var cutUntil = Duration.ZERO
     private val clockDrift = simulation.clockDrift()
     private var leaseRenewedAt = Duration.ZERO
 
@@ -19,8 +22,9 @@
         scheduleHeartbeat()
         expireLease()
         val node = simulation.members[nodeIndex]
-        if (!node.isUp || !node.renewsLease(this)) {
-            // The node is down or refused the renewal, so the next heartbeat is sent to the next node.
+        val isConnected = simulation.now >= cutUntil && node.isUp && !node.isCutFromWorkers
+        if (!isConnected || !node.renewsLease(this)) {
+            // The node can't be reached or refused the renewal, so the next heartbeat is sent to the next node.
             nodeIndex = (nodeIndex + 1) % simulation.members.size
             return
         }
