Start: heartbeats wait for the first read of the cancellations instead of being refused

Since controllers without knowledge renew no leases, those that have just started refused every heartbeat until their first read was complete.

A heartbeat that arrives before the controller knows the cancellations now waits for it, for 2.5 s at most, unless another node leads, the controller is isolated or it is fenced. No thread is held. Answers with status 200 are made in one place (HeartbeatAnswers), which WorkerApi had grown to do besides reading requests.

--- /dev/null
+++ b/src/main/kotlin/glenspool/api/DeferredHeartbeats.kt
@@ -0,0 +1,45 @@
+package glenspool.api
+
+import java.util.concurrent.LinkedBlockingQueue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Heartbeats that arrived before this node knew the confirmed cancellations, and wait until it does. Refusing them
+ * immediately would cost each worker a second before it tries the next node, and each retry costs the controllers
+ * processor time, which is scarce when all of them have just started. Thread-safe.
+ *
+ * @property uptime the time since the node's start
+ * @property isReady whether waiting any longer is of no use
+ */
+internal class DeferredHeartbeats(private val uptime: () -> Duration, private val isReady: () -> Boolean) {
+    private class Deferred(val arrivedAt: Duration, val answer: () -> Unit)
+
+    private val queue = LinkedBlockingQueue<Deferred>(MAX_HEARTBEATS)
+
+    /**
+     * Defers a heartbeat. [answer] is called by [run], as soon as the node is ready or the heartbeat has waited for
+     * [MAX_WAIT]. Returns false if too many heartbeats wait.
+     */
+    fun add(answer: () -> Unit): Boolean = queue.offer(Deferred(uptime(), answer))
+
+    /** The body of the service thread that answers the deferred heartbeats in order of arrival. */
+    fun run() {
+        while (true) {
+            val next = queue.take()
+            while (!isReady() && uptime() - next.arrivedAt < MAX_WAIT) {
+                Thread.sleep(CHECK_INTERVAL.inWholeMilliseconds)
+            }
+            next.answer()
+        }
+    }
+
+    companion object {
+        /** Bounds the memory of waiting heartbeats, of which each takes some kilobytes. */
+        const val MAX_HEARTBEATS = 4096
+
+        /** Workers wait 4 s for an answer. The difference allows for network latency and late timers. */
+        val MAX_WAIT: Duration = 2500.milliseconds
+        private val CHECK_INTERVAL = 50.milliseconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/glenspool/api/HeartbeatAnswers.kt
@@ -0,0 +1,66 @@
+package glenspool.api
+
+import glenspool.config.WorkerSettings
+import glenspool.core.StopCause
+import glenspool.core.model.Command
+import glenspool.core.model.Heartbeat
+import glenspool.core.model.StopTask
+import glenspool.core.model.TaskState
+import glenspool.http.cborResponse
+import glenspool.wire.WorkerWire
+import org.http4k.core.Response
+import org.http4k.core.Status
+import kotlin.time.Duration
+
+/**
+ * Makes the answers to heartbeats. An answer with status 200 renews the worker's lease, so every one of them is made
+ * here. Thread-safe.
+ */
+internal class HeartbeatAnswers(workers: WorkerSettings, otherNodeCount: Int, private val node: NodeState) {
+    private val leaseRenewal = LeaseRenewalPolicy(workers, otherNodeCount, node::uptime)
+    private val decisionLog = LeaseDecisionLog(node::uptime)
+    private val redirectLimiter = RedirectLimiter(workers.lease, node::uptime)
+
+    /** Whether this node does not know yet which jobs were cancelled, and can be expected to learn it soon. */
+    fun isLearningCancellations(): Boolean =
+        node.cancellations.completeUpTo() == null && node.otherLeader() == null && !node.isolated() && !node.fenced()
+
+    /** Returns the answer of the leader. */
+    fun withCommands(heartbeat: Heartbeat, commands: WorkerCommands): Response =
+        renewal(heartbeat, commands.token, commands.commands)
+
+    /** Returns the answer of a node that does not lead or whose core is overloaded. */
+    fun withoutCore(heartbeat: Heartbeat): Response {
+        val leader = node.otherLeader()
+        if (leader != null && redirectLimiter.mayRedirect(heartbeat.machine)) {
+            return cborResponse(MISDIRECTED, WorkerWire.redirect(leader))
+        }
+        // A fenced build may not be able to decode the stored data, so it can't determine which work was cancelled.
+        if (node.fenced() || !mayRenewLease(heartbeat)) return cborResponse(Status.SERVICE_UNAVAILABLE, emptyMap())
+        // No leader is known, or the worker may not be redirected to it now. An answer with the worker's own token
+        // starts no tasks and keeps those that it has running.
+        return renewal(heartbeat, heartbeat.token, stopsOfCancelledTasks(heartbeat))
+    }
+
+    private fun mayRenewLease(heartbeat: Heartbeat): Boolean {
+        val cancellationsCompleteUntil = node.cancellations.completeUpTo()
+        val decision = leaseRenewal.decide(heartbeat.machine, cancellationsCompleteUntil, node.isolated())
+        decisionLog.record(heartbeat.machine, decision, cancellationsCompleteUntil)
+        return decision.isRenewed
+    }
+
+    private fun renewal(heartbeat: Heartbeat, token: Long, commands: List<Command>): Response {
+        leaseRenewal.recordAnswer(heartbeat.machine)
+        return cborResponse(Status.OK, WorkerWire.heartbeatReply(token, commands))
+    }
+
+    /** A cancelled job stays cancelled, so any node may stop its tasks, whichever fencing token is current. */
+    private fun stopsOfCancelledTasks(heartbeat: Heartbeat): List<StopTask> =
+        heartbeat.tasks
+            .filter { it.state != TaskState.EXITED && node.cancellations.contains(it.key.job) }
+            .map { StopTask(it.key, it.attempt, Duration.ZERO, StopCause.CANCELLED) }
+
+    private companion object {
+        val MISDIRECTED = Status(421, "Misdirected Request")
+    }
+}
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -151,6 +151,7 @@
         }
         settings.members.forEach { member -> threads.start("cancel-${member.name}") { exchange.run(member) } }
         threads.start("heartbeat-expiry") { loop.expireHeartbeats() }
+        threads.start("deferred-heartbeats") { workerApi.answerDeferredHeartbeats() }
         threads.start("cancelled-work") { cancelledWork.run() }
         threads.startOnce("warm-up") {
             WarmUp(config, settings.internalAddr.hostPort(), answeredHeartbeats = workerApi::heartbeatsReceived) {
--- /dev/null
+++ b/src/test/kotlin/glenspool/api/HeartbeatAnswersTest.kt
@@ -0,0 +1,88 @@
+package glenspool.api
+
+import glenspool.config.WorkerSettings
+import glenspool.core.cluster.Cancellation
+import glenspool.core.cluster.Cancellations
+import glenspool.core.model.Heartbeat
+import glenspool.core.model.TaskKey
+import glenspool.core.model.TaskState
+import glenspool.core.model.TaskStatus
+import glenspool.wire.Cbor
+import glenspool.wire.Fields
+import org.http4k.core.Response
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Which answers renew a worker's lease, and which stops they carry, in simulated time. */
+class HeartbeatAnswersTest {
+    private var now = Duration.ZERO
+    private val node = FakeNode()
+    private val answers = HeartbeatAnswers(WORKERS, otherNodeCount = 2, node)
+    private val heartbeat =
+        Heartbeat(
+            "m1", "m1:1", "any", "a", false, 1, 1, WORKER_TOKEN, null,
+            listOf(running("run-000001", 0), running("run-000002", 0)),
+        )
+
+    private inner class FakeNode : NodeState {
+        override val cancellations = Cancellations("boot", listOf("b", "c"), 200.seconds, { now }) { now }
+        var leader: String? = null
+        var isIsolated = false
+        var isFenced = false
+
+        override fun uptime() = now
+
+        override fun fenced() = isFenced
+
+        override fun isolated() = isIsolated
+
+        override fun otherLeader() = leader
+    }
+
+    private fun running(job: String, task: Int) = TaskStatus(TaskKey(job, task), 1, TaskState.RUNNING, null, false)
+
+    private fun fields(response: Response): Fields = Cbor.decodeMap(response.body.stream.readAllBytes())
+
+    /** The tasks that the answer stops. */
+    private fun stopped(response: Response): List<Any?> =
+        (fields(response)["orders"] as List<*>).map { (it as Map<*, *>)["thread"] }
+
+    private fun readStore() = node.cancellations.recordStoreRead(now)
+
+    @Test
+    fun `a node without a leader renews leases with the worker's token and stops cancelled work`() {
+        readStore()
+        node.cancellations.add(Cancellation("run-000002", now, 1))
+        val answer = answers.withoutCore(heartbeat)
+        assertEquals(200, answer.status.code)
+        assertEquals(WORKER_TOKEN, fields(answer)["baton"])
+        assertEquals(listOf("run-000002/0"), stopped(answer))
+    }
+
+    @Test
+    fun `a node that knows no cancellations refuses heartbeats, and learns them only if it can`() {
+        assertTrue(answers.isLearningCancellations())
+        assertEquals(503, answers.withoutCore(heartbeat).status.code)
+        node.isIsolated = true
+        assertFalse(answers.isLearningCancellations())
+        node.isIsolated = false
+        node.isFenced = true
+        assertFalse(answers.isLearningCancellations())
+        node.isFenced = false
+        node.leader = "b"
+        assertFalse(answers.isLearningCancellations())
+        node.leader = null
+        readStore()
+        assertFalse(answers.isLearningCancellations())
+        assertEquals(200, answers.withoutCore(heartbeat).status.code)
+    }
+
+    private companion object {
+        const val WORKER_TOKEN = 7L
+        val WORKERS = WorkerSettings(4.seconds, 24.seconds, 30.seconds, 8.seconds, 49.seconds)
+    }
+}
