Cancellations: no reliance on a promise after another version has taken a controller's place

What callers could see: cancelled tasks on their machines more than cancel_s after the cancellation, when a controller was replaced by the version in production while the store refused the others.

Cause: a controller confirms nothing that another one does not know for 15 s after their last contact, and the other one counts on that. The version in production, which exchanges no cancellations, confirms at once. The others noticed it (markUnsupported), but kept what they had derived from the promise of the version before.

RandomRestartChainTest now also changes versions.

--- a/src/main/kotlin/glenspool/core/cluster/Cancellations.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Cancellations.kt
@@ -1,7 +1,6 @@
 package glenspool.core.cluster
 
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -31,30 +30,9 @@
     /** A known cancellation; [order] is its number in the order in which this process learned of them. */
     private class KnownCancellation(val cancellation: Cancellation, val order: Long)
 
-    /** The state of the exchange with another controller. */
-    private class Member(start: Duration) {
-        /** The moment up to which all cancellations that any process of the member confirmed are known. */
-        var coveredUpTo: Duration? = null
-
-        /**
-         * When the last message that the member answered was sent. The initial value is the start of this process,
-         * which is conservative.
-         */
-        var contactedAt = start
-
-        /** The number of this process's last cancellation that the member has. */
-        var acknowledged = 0L
-
-        /** Which of the member's cancellations this process has. */
-        var acknowledgement: Acknowledgement? = null
-
-        /** Whether the member answers, but runs a version that does not exchange cancellations. */
-        var isUnsupported = false
-    }
-
     private val start = now()
     private val known = LinkedHashMap<String, KnownCancellation>()
-    private val members = members.associateWith { Member(start) }
+    private val peers = members.associateWith { CancellationPeer(start) }
     private var lastOrder = 0L
 
     /** The moment up to which all cancellations that earlier processes of this node confirmed are known. */
@@ -90,14 +68,16 @@
 
     /** Records that the key-value store answered a read of its current state, which was sent at [sentAt]. */
     @Synchronized
-    fun recordStoreRead(sentAt: Duration) = coverAll(sentAt)
-
-    private fun coverAll(upTo: Duration) {
-        ownCoveredUpTo = later(ownCoveredUpTo, upTo)
-        for (member in members.values) member.coveredUpTo = later(member.coveredUpTo, upTo)
+    fun recordStoreRead(sentAt: Duration) {
+        ownCoveredUpTo = CancellationPeer.laterOf(ownCoveredUpTo, sentAt)
+        peers.values.forEach { it.coverByStoreRead(sentAt) }
     }
 
-    private fun later(known: Duration?, moment: Duration) = if (known == null || moment > known) moment else known
+    /** Records another controller's claim to know everything up to [upTo], all of which this one has by now. */
+    private fun recordClaim(upTo: Duration) {
+        ownCoveredUpTo = CancellationPeer.laterOf(ownCoveredUpTo, upTo)
+        peers.values.forEach { it.coverByClaim(upTo) }
+    }
 
     /**
      * The moment up to which this controller knows every confirmed cancellation; null if there is no such moment. It
@@ -108,15 +88,15 @@
         val own = ownCoveredUpTo ?: return null
         // This process knows what it confirmed itself, and earlier processes of this node ended before it started.
         var moment = if (own >= start) Duration.INFINITE else own
-        for (member in members.values) moment = minOf(moment, member.coveredUpTo ?: return null)
+        for (peer in peers.values) moment = minOf(moment, peer.coveredUpTo ?: return null)
         return moment
     }
 
     /** The update to send to the controller [name] now. */
     @Synchronized
     fun updateFor(name: String): CancellationUpdate {
-        val member = members.getValue(name)
-        return updateAfter(member, member.acknowledged)
+        val peer = peers.getValue(name)
+        return updateAfter(peer, peer.acknowledged)
     }
 
     /**
@@ -125,16 +105,16 @@
      */
     @Synchronized
     fun reply(name: String, update: CancellationUpdate): CancellationReply? {
-        val member = members[name] ?: return null
-        val learned = apply(member, update)
-        return CancellationReply(updateAfter(member, acknowledgedBy(update)), learned)
+        val peer = peers[name] ?: return null
+        val learned = apply(peer, update)
+        return CancellationReply(updateAfter(peer, acknowledgedBy(update)), learned)
     }
 
     /** The number of the last cancellation of this process that the sender has. */
     private fun acknowledgedBy(update: CancellationUpdate): Long =
         update.acknowledgement?.takeIf { it.boot == boot }?.upTo ?: 0L
 
-    private fun updateAfter(member: Member, base: Long): CancellationUpdate {
+    private fun updateAfter(peer: CancellationPeer, base: Long): CancellationUpdate {
         val missing = known.values.filter { it.order > base }
         val sent = missing.take(MAX_ENTRIES)
         val isComplete = sent.size == missing.size
@@ -147,8 +127,8 @@
             isComplete = isComplete,
             // A moment in the future is valid only for this controller, so the age is not negative.
             completeAge = completeUpTo()?.let { maxOf(Duration.ZERO, now() - it) },
-            contactAge = now() - member.contactedAt,
-            acknowledgement = member.acknowledgement,
+            contactAge = now() - peer.contactedAt,
+            acknowledgement = peer.acknowledgement,
         )
     }
 
@@ -156,10 +136,9 @@
      * Adds the entries of an update, which are valid at any time, and acknowledges them. Nothing else in an unrequested
      * message may be used, since the message may be minutes old.
      */
-    private fun apply(member: Member, update: CancellationUpdate): List<Cancellation> {
+    private fun apply(peer: CancellationPeer, update: CancellationUpdate): List<Cancellation> {
         val learned = update.entries.filter { add(it) }
-        val before = member.acknowledgement?.takeIf { it.boot == update.boot }?.upTo ?: 0L
-        if (update.base <= before) member.acknowledgement = Acknowledgement(update.boot, maxOf(before, update.upTo))
+        peer.acknowledge(update)
         return learned
     }
 
@@ -169,44 +148,29 @@
      */
     @Synchronized
     fun applyReply(name: String, update: CancellationUpdate, sentAt: Duration): List<Cancellation> {
-        val member = members.getValue(name)
-        member.isUnsupported = false
-        member.contactedAt = sentAt
-        member.acknowledged = acknowledgedBy(update)
-        val learned = apply(member, update)
-        if (hasAllEntries(member, update)) cover(member, update, sentAt)
+        val peer = peers.getValue(name)
+        peer.recordReply(sentAt, acknowledgedBy(update))
+        val learned = apply(peer, update)
+        if (peer.hasAllEntries(update)) {
+            update.completeAge?.let { recordClaim(sentAt - it * (1 + DRIFT_ALLOWANCE)) }
+            peer.coverByReply(update, sentAt, now())
+        }
         return learned
     }
 
-    private fun hasAllEntries(member: Member, update: CancellationUpdate): Boolean {
-        val acknowledgement = member.acknowledgement ?: return false
-        return update.isComplete && acknowledgement.boot == update.boot && acknowledgement.upTo >= update.upTo
-    }
-
-    private fun cover(member: Member, update: CancellationUpdate, sentAt: Duration) {
-        update.completeAge?.let { coverAll(sentAt - it * (1 + DRIFT_ALLOWANCE)) }
-        // The member's process started at this moment at the latest, and its earlier processes had ended by then.
-        val startedBy = now() - update.uptime * (1 - DRIFT_ALLOWANCE)
-        val coveredUpTo = member.coveredUpTo
-        if (coveredUpTo == null || coveredUpTo < startedBy) return
-        val lastContact = sentAt - update.contactAge * (1 + DRIFT_ALLOWANCE)
-        val nothingConfirmedUntil = lastContact + ISOLATION_TIMEOUT * (1 - DRIFT_ALLOWANCE) - COVERAGE_MARGIN
-        member.coveredUpTo = later(coveredUpTo, maxOf(sentAt, nothingConfirmedUntil))
-    }
-
     /**
      * Records that the controller [name] runs a version that does not exchange cancellations. Confirmations can't wait
      * for it, and it is not known which cancellations it confirms.
      */
     @Synchronized
     fun markUnsupported(name: String) {
-        members.getValue(name).isUnsupported = true
+        peers.getValue(name).markUnsupported(now())
     }
 
     /** Whether the controller [name] lacks a cancellation that this one knows. */
     @Synchronized
     fun needsUpdate(name: String): Boolean =
-        members.getValue(name).let { !it.isUnsupported && it.acknowledged < lastOrder }
+        peers.getValue(name).let { !it.isUnsupported && it.acknowledged < lastOrder }
 
     /**
      * Whether the cancellation of the job may be confirmed to a user. Every other controller must know it, or must have
@@ -216,19 +180,18 @@
     fun mayConfirm(job: String): Boolean {
         // A cancellation past its retention time was sent to every controller that could receive it.
         val order = known[job]?.order ?: return true
-        return members.values.all { member ->
-            val isIsolated = now() - member.contactedAt >= ISOLATION_TIMEOUT
-            member.isUnsupported || member.acknowledged >= order || isIsolated
+        return peers.values.all { peer ->
+            val isIsolated = now() - peer.contactedAt >= ISOLATION_TIMEOUT
+            peer.isUnsupported || peer.acknowledged >= order || isIsolated
         }
     }
 
     companion object {
         /** Longer than a controller takes to restart, so that a restart leaves no confirmed cancellation unknown. */
         val ISOLATION_TIMEOUT = 15.seconds
-        private val COVERAGE_MARGIN = 50.milliseconds
 
         /** Twice the relative drift that two clocks may have. */
-        private const val DRIFT_ALLOWANCE = 0.001
+        internal const val DRIFT_ALLOWANCE = 0.001
 
         /** The largest number of cancellations in one message. */
         private const val MAX_ENTRIES = 400
--- a/src/test/kotlin/glenspool/faults/ControllerRestartChainTest.kt
+++ b/src/test/kotlin/glenspool/faults/ControllerRestartChainTest.kt
@@ -76,4 +76,25 @@
         simulation.run(200.seconds)
         assertHeld(simulation, seed)
     }
+
+    // A controller relied on another one not to confirm anything, although the production version had taken its place.
+    @ParameterizedTest
+    @ValueSource(longs = [7, 8, 9])
+    fun `a controller that restarts in the production version is not relied on to wait with confirmations`(seed: Long) {
+        val simulation = simulation(seed)
+        val (first, replaced, third) = simulation.members
+        simulation.run(29.seconds)
+        listOf(first, third).forEach { it.storeRefusedUntil = 150.seconds }
+        simulation.at(30.seconds) {
+            replaced.isOldVersion = true
+            // A node of the old version renews leases without limit, so no worker must reach it.
+            replaced.isCutFromWorkers = true
+            replaced.stop(8.seconds)
+        }
+        simulation.at(38.1.seconds) { simulation.workers.forEach { replaced.cancel(it.name) } }
+        simulation.run(160.seconds)
+        assertEquals(simulation.workers.size, simulation.confirmed.size, "seed $seed")
+        val tooLate = simulation.violations.filter { "ran_cancelled" in it }
+        assertEquals(emptyList<String>(), tooLate.take(3), "seed $seed")
+    }
 }
--- a/src/test/kotlin/glenspool/faults/RandomRestartChainTest.kt
+++ b/src/test/kotlin/glenspool/faults/RandomRestartChainTest.kt
@@ -13,30 +13,70 @@
 
 /**
  * Random chains of restarts around an outage of the store: one, two or all controllers, together or in turn, several
- * times; machines that are cut from the network and come back, controllers that are partitioned before, and clocks that
- * drift.
+ * times; machines that are cut from the network and come back, controllers that are partitioned before, clocks that
+ * drift, and controllers of the version in production.
  */
 class RandomRestartChainTest {
+    /** How controllers change to the version in production and back, which they do only when they restart. */
+    private enum class VersionChanges {
+        NONE,
+
+        /** As docs/upgrade.md says, a controller is replaced by the version in production only after a wait. */
+        AFTER_WAIT,
+
+        /** Within seconds, but no controller is partitioned, so that the others notice. */
+        WITHOUT_WAIT,
+    }
+
     @Test
     fun `cancelled work ends in time over random chains of restarts`() {
-        val confirmed = (1L..SEEDS).sumOf { runChain(it).confirmed.size }
+        val confirmed =
+            (1L..SEEDS).sumOf { seed ->
+                val simulation = runChain(seed, VersionChanges.NONE)
+                assertHeld(simulation, seed)
+                simulation.confirmed.size
+            }
         assertTrue(confirmed > SEEDS * 2, "$confirmed confirmed")
     }
 
-    private fun runChain(seed: Long): CancellationSimulation {
+    @Test
+    fun `cancelled work ends in time over random chains of restarts that change the version`() {
+        for (seed in 1L..SEEDS) assertHeld(runChain(seed, VersionChanges.AFTER_WAIT), seed)
+    }
+
+    @Test
+    fun `cancelled work ends in time over random chains of restarts that change the version without a wait`() {
+        for (seed in 1L..SEEDS) {
+            val simulation = runChain(seed, VersionChanges.WITHOUT_WAIT)
+            // Until the others notice the change they may claim too much, which must not keep cancelled work alive.
+            val tooLate = simulation.violations.filter { "ran_cancelled" in it }
+            assertEquals(emptyList<String>(), tooLate.take(3), "seed $seed")
+        }
+    }
+
+    private fun assertHeld(simulation: CancellationSimulation, seed: Long) =
+        assertEquals(emptyList<String>(), simulation.violations.take(3), "seed $seed")
+
+    private fun runChain(seed: Long, versionChanges: VersionChanges): CancellationSimulation {
         val settings = SETTINGS[(seed % SETTINGS.size).toInt()]
         val messageLoss = if (seed % 5 == 0L) 0.1 else 0.0
         val simulation = CancellationSimulation(seed, settings, messageLoss)
-        RestartChain(simulation, Random(seed)).schedule()
+        RestartChain(simulation, Random(seed), versionChanges).schedule()
         simulation.run(END)
-        assertEquals(emptyList<String>(), simulation.violations.take(3), "seed $seed")
         return simulation
     }
 
     /** The events of one chain. */
-    private class RestartChain(private val simulation: CancellationSimulation, private val random: Random) {
+    private class RestartChain(
+        private val simulation: CancellationSimulation,
+        private val random: Random,
+        private val versionChanges: VersionChanges,
+    ) {
+        private val changesVersions = versionChanges != VersionChanges.NONE
+
         fun schedule() {
             simulation.workers.forEach { worker -> worker.jobs += worker.name }
+            if (changesVersions && chance(0.5)) setVersion(anyMember(), isOld = true)
             if (chance(0.4)) cutOffMember()
             val outageStart = 32.seconds + upTo(20.seconds)
             val outage = 30.seconds + upTo(90.seconds)
@@ -63,7 +103,8 @@
             val until = 40.seconds + upTo(100.seconds)
             simulation.at(10.seconds + upTo(30.seconds)) {
                 member.storeRefusedUntil = until
-                if (chance(0.7)) member.partitionedUntil = until
+                val isPartitioned = versionChanges != VersionChanges.WITHOUT_WAIT && chance(0.7)
+                if (isPartitioned) member.partitionedUntil = until
             }
         }
 
@@ -91,7 +132,19 @@
 
         private fun restart(member: CancellationNode, moment: Duration) {
             val time = if (chance(0.3)) 300.milliseconds else 6.seconds + upTo(2.seconds)
-            simulation.at(moment) { member.stop(time) }
+            val changesVersion = changesVersions && chance(0.2)
+            simulation.at(moment) {
+                if (!changesVersion) return@at member.stop(time)
+                setVersion(member, isOld = !member.isOldVersion)
+                val waits = member.isOldVersion && versionChanges == VersionChanges.AFTER_WAIT
+                member.stop(if (waits) REPLACEMENT_WAIT + time else time)
+            }
+        }
+
+        /** No worker reaches a controller of the old version, which renews leases without a limit. */
+        private fun setVersion(member: CancellationNode, isOld: Boolean) {
+            member.isOldVersion = isOld
+            member.isCutFromWorkers = isOld
         }
 
         private fun cutWorker(moment: Duration) {
@@ -105,6 +158,9 @@
         const val SEEDS = 400L
         val END = 220.seconds
 
+        /** See docs/upgrade.md, "Rolling back". */
+        val REPLACEMENT_WAIT = 15.seconds
+
         /** Deployments with leases from an eighth to a half of the deadline. */
         val SETTINGS =
             listOf(
