Leases: the leader's answers renew them on the same conditions as any other

What callers could see: a cancelled task on its machine for a lease longer than its deadline allows.

Cause: the leader's answers did not go through the lease decision. The core repeats a stop only 0.7 heartbeat intervals after the last one, so an answer could renew the lease without the stop: where a machine hangs or is cut off for nearly a lease after the cancellation, reports once, is cut off again and all controllers end with the store out, nobody deletes it, and its task lives a lease longer. And a leader whose reads fail while it can renew its own lease answered without a limit.

Now every answer with status 200 is subject to the lease decision, and stops all tasks in the heartbeat whose jobs are known to be cancelled. That makes the argument in docs/safety.md hold for every answer without a case for the leader.

Both cases of HeartbeatAnswersTest fail without the change: the answer had no stop, and the status was 200.

--- a/src/main/kotlin/glenspool/api/HeartbeatAnswers.kt
+++ b/src/main/kotlin/glenspool/api/HeartbeatAnswers.kt
@@ -25,9 +25,16 @@
     fun isLearningCancellations(): Boolean =
         node.cancellations.completeUpTo() == null && node.otherLeader() == null && !node.isolated() && !node.fenced()
 
-    /** Returns the answer of the leader. */
-    fun withCommands(heartbeat: Heartbeat, commands: WorkerCommands): Response =
-        renewal(heartbeat, commands.token, commands.commands)
+    /**
+     * Returns the answer of the leader. It renews the lease on the same conditions as any other answer: while the leader
+     * can know all cancellations that have to take effect within the lease, and with stops of all work that it knows to
+     * be cancelled. The core repeats a stop only after an interval.
+     */
+    fun withCommands(heartbeat: Heartbeat, reply: WorkerCommands): Response {
+        if (!decide(heartbeat, mayRefuseOnce = false).isRenewed) return refusal()
+        val missingStops = stopsOfCancelledTasks(heartbeat) - reply.commands.toSet()
+        return renewal(heartbeat, reply.token, reply.commands + missingStops)
+    }
 
     /** Returns the answer of a node that does not lead or whose core is overloaded. */
     fun withoutCore(heartbeat: Heartbeat): Response {
@@ -36,19 +43,23 @@
             return cborResponse(MISDIRECTED, WorkerWire.redirect(leader))
         }
         // A fenced build may not be able to decode the stored data, so it can't determine which work was cancelled.
-        if (node.fenced() || !mayRenewLease(heartbeat)) return cborResponse(Status.SERVICE_UNAVAILABLE, emptyMap())
+        if (node.fenced() || !decide(heartbeat, mayRefuseOnce = true).isRenewed) return refusal()
         // No leader is known, or the worker may not be redirected to it now. An answer with the worker's own token
         // starts no tasks and keeps those that it has running.
         return renewal(heartbeat, heartbeat.token, stopsOfCancelledTasks(heartbeat))
     }
 
-    private fun mayRenewLease(heartbeat: Heartbeat): Boolean {
+    /** @param mayRefuseOnce whether the worker may be refused because another node may lead */
+    private fun decide(heartbeat: Heartbeat, mayRefuseOnce: Boolean): LeaseDecision {
         val cancellationsCompleteUntil = node.cancellations.completeUpTo()
-        val decision = leaseRenewal.decide(heartbeat.machine, cancellationsCompleteUntil, node.isolated())
+        val isIsolated = mayRefuseOnce && node.isolated()
+        val decision = leaseRenewal.decide(heartbeat.machine, cancellationsCompleteUntil, isIsolated)
         decisionLog.record(heartbeat.machine, decision, cancellationsCompleteUntil)
-        return decision.isRenewed
+        return decision
     }
 
+    private fun refusal(): Response = cborResponse(Status.SERVICE_UNAVAILABLE, emptyMap())
+
     private fun renewal(heartbeat: Heartbeat, token: Long, commands: List<Command>): Response {
         leaseRenewal.recordAnswer(heartbeat.machine)
         return cborResponse(Status.OK, WorkerWire.heartbeatReply(token, commands))
--- a/src/main/kotlin/glenspool/api/LeaseDecision.kt
+++ b/src/main/kotlin/glenspool/api/LeaseDecision.kt
@@ -1,6 +1,6 @@
 package glenspool.api
 
-/** What a node that knows no leader does with a worker's lease, and why. */
+/** What a node does with a worker's lease when it does not redirect the worker, and why. */
 enum class LeaseDecision(val isRenewed: Boolean) {
     /** The lease ends before the deadline of any cancellation that the node may not have received. */
     RENEWED(true),
--- a/src/main/kotlin/glenspool/api/LeaseDecisionLog.kt
+++ b/src/main/kotlin/glenspool/api/LeaseDecisionLog.kt
@@ -5,8 +5,8 @@
 import kotlin.time.Duration
 
 /**
- * Logs on what grounds the leases of workers are renewed without a leader: each decision at level debug, and changes
- * from one kind of decision to another at level info. Thread-safe.
+ * Logs on what grounds the leases of workers are renewed or refused: each decision at level debug, and changes from one
+ * kind of decision to another at level info. Thread-safe.
  *
  * @property uptime the time since the node's start
  */
--- a/src/main/kotlin/glenspool/api/LeaseRenewalPolicy.kt
+++ b/src/main/kotlin/glenspool/api/LeaseRenewalPolicy.kt
@@ -9,7 +9,7 @@
 import kotlin.time.toJavaDuration
 
 /**
- * Decides whether a node that knows no leader renews a worker's lease by answering its heartbeat.
+ * Decides whether a node that leads, or knows no leader, renews a worker's lease by answering its heartbeat.
  *
  * @property uptime the time since the node's start
  */
--- a/src/test/kotlin/glenspool/api/HeartbeatAnswersTest.kt
+++ b/src/test/kotlin/glenspool/api/HeartbeatAnswersTest.kt
@@ -1,9 +1,11 @@
 package glenspool.api
 
 import glenspool.config.WorkerSettings
+import glenspool.core.StopCause
 import glenspool.core.cluster.Cancellation
 import glenspool.core.cluster.Cancellations
 import glenspool.core.model.Heartbeat
+import glenspool.core.model.StopTask
 import glenspool.core.model.TaskKey
 import glenspool.core.model.TaskState
 import glenspool.core.model.TaskStatus
@@ -81,8 +83,36 @@
         assertEquals(200, answers.withoutCore(heartbeat).status.code)
     }
 
+    // The core repeats a stop only after an interval, so its answer could renew the lease of a cancelled task.
+    @Test
+    fun `every answer of the leader stops the work that is known to be cancelled`() {
+        readStore()
+        node.cancellations.add(Cancellation("run-000002", now, 1))
+        val answer = answers.withCommands(heartbeat, WorkerCommands(LEADER_TOKEN, emptyList()))
+        assertEquals(200, answer.status.code)
+        assertEquals(LEADER_TOKEN, fields(answer)["baton"])
+        assertEquals(listOf("run-000002/0"), stopped(answer))
+        val stop = StopTask(TaskKey("run-000002", 0), 1, Duration.ZERO, StopCause.CANCELLED)
+        val repeated = answers.withCommands(heartbeat, WorkerCommands(LEADER_TOKEN, listOf(stop)))
+        assertEquals(listOf("run-000002/0"), stopped(repeated))
+    }
+
+    // A leader whose reads fail while the renewals of its own lease succeed must not keep cancelled work alive.
+    @Test
+    fun `a leader renews no lease that could outlast a cancellation it has not received`() {
+        readStore()
+        now = 24.seconds
+        node.isIsolated = true
+        assertEquals(503, answers.withCommands(heartbeat, WorkerCommands(LEADER_TOKEN, emptyList())).status.code)
+        now = 23.seconds
+        repeat(2) {
+            assertEquals(200, answers.withCommands(heartbeat, WorkerCommands(LEADER_TOKEN, emptyList())).status.code)
+        }
+    }
+
     private companion object {
         const val WORKER_TOKEN = 7L
+        const val LEADER_TOKEN = 8L
         val WORKERS = WorkerSettings(4.seconds, 24.seconds, 30.seconds, 8.seconds, 49.seconds)
     }
 }
