--- a/src/main/kotlin/glenspool/api/HeartbeatAnswers.kt
+++ b/src/main/kotlin/glenspool/api/HeartbeatAnswers.kt
@@ -26,9 +26,9 @@
         node.cancellations.completeUpTo() == null && node.otherLeader() == null && !node.isolated() && !node.fenced()
 
     /**
-     * Returns the answer of the leader. It renews the lease on the same conditions as any other answer: while the leader
-     * can know all cancellations that have to take effect within the lease, and with stops of all work that it knows to
-     * be cancelled. The core repeats a stop only after an interval.
+     * Returns the answer of the leader. It renews the lease on the same conditions as any other answer: while no
+     * cancellation that the leader may not have received has to take effect within the lease, and with stops of all work
+     * that it knows to be cancelled. The core itself repeats a stop only after an interval.
      */
     fun withCommands(heartbeat: Heartbeat, reply: WorkerCommands): Response {
         if (!decide(heartbeat, mayRefuseOnce = false).isRenewed) return refusal()
