--- a/src/main/kotlin/glenspool/api/HeartbeatAnswers.kt
+++ b/src/main/kotlin/glenspool/api/HeartbeatAnswers.kt
@@ -27,8 +27,8 @@
 
     /**
      * Returns the answer of the leader. It renews the lease on the same conditions as any other answer: while no
-     * cancellation that the leader may not have received has to take effect within the lease, and with stops of all work
-     * that it knows to be cancelled. The core itself repeats a stop only after an interval.
+     * cancellation that the leader may not have received has to take effect within the lease, and with stops of all
+     * work that it knows to be cancelled. The core itself repeats a stop only after an interval.
      */
     fun withCommands(heartbeat: Heartbeat, reply: WorkerCommands): Response {
         if (!decide(heartbeat, mayRefuseOnce = false).isRenewed) return refusal()
