Cancellations: one that the store carries out minutes late is exchanged before it is confirmed

What callers could see: a cancelled task whose lease is renewed by a controller that the store refuses, although another controller has confirmed the cancellation.

Cause: a cancellation expired four times cancel_s after the moment in its record, which is written before the transaction is sent, and the protocol lets transactions be carried out minutes late. A late one was not added by any controller, and the one that was asked took it for a cancellation that all others had received long ago.

It is now kept for that time after a process has learned of it, by the monotonic clock.

CancellationExchangeTest.confirmation waits for the other controller even if the cancellation was requested long ago failed before: the cancellation was not known.

--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -54,7 +54,7 @@
 
     /** Cancellations are kept for a multiple of the time within which they have to take effect. */
     override val cancellations =
-        Cancellations(boot, members, settings.workers.cancellationDeadline * 4, ::uptime, ::wallClock)
+        Cancellations(boot, members, settings.workers.cancellationDeadline * 4, ::uptime)
     private val cache: StoreCache =
         StoreCache(store, storeLimits.rps, ::storeRead) { changes, _ ->
             exchange.storeChanged(changes)
--- a/src/main/kotlin/glenspool/core/cluster/Cancellations.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Cancellations.kt
@@ -17,18 +17,17 @@
  *   [ISOLATION_TIMEOUT]. So the end of a controller or a network partition does not stop the moment immediately, and an
  *   outage in which no controller can confirm anything never stops it.
  *
- * [boot] is the boot ID of this process, [retention] the time for which a cancellation is kept, [now] the monotonic
- * clock, counted from the start of the process, and [wallTime] the time of day. Thread-safe.
+ * [boot] is the boot ID of this process, [retention] the time for which a cancellation is kept after this process has
+ * learned of it, and [now] the monotonic clock, counted from the start of the process. Thread-safe.
  */
 class Cancellations(
     private val boot: String,
     members: Collection<String>,
     private val retention: Duration,
     private val now: () -> Duration,
-    private val wallTime: () -> Duration,
 ) {
-    /** A known cancellation; [order] is its number in the order in which this process learned of them. */
-    private class KnownCancellation(val cancellation: Cancellation, val order: Long)
+    /** A cancellation that this process learned of at [learnedAt], as the one with number [order]. */
+    private class KnownCancellation(val cancellation: Cancellation, val order: Long, val learnedAt: Duration)
 
     private val start = now()
     private val known = LinkedHashMap<String, KnownCancellation>()
@@ -38,24 +37,22 @@
     /** The moment up to which all cancellations that earlier processes of this node confirmed are known. */
     private var ownCoveredUpTo: Duration? = null
 
-    /** Adds a cancellation and returns true, or returns false if it is already known or past the retention time. */
+    /**
+     * Adds a cancellation and returns true, or returns false if it is already known. How long ago it was requested does
+     * not matter, since a transaction may be carried out minutes late, and the user is told only after that.
+     */
     @Synchronized
     fun add(cancellation: Cancellation): Boolean {
-        if (cancellation.job in known || isExpired(cancellation)) return false
+        if (cancellation.job in known) return false
         removeExpired()
-        known[cancellation.job] = KnownCancellation(cancellation, ++lastOrder)
+        known[cancellation.job] = KnownCancellation(cancellation, ++lastOrder, now())
         return true
     }
 
-    private fun isExpired(cancellation: Cancellation) = wallTime() - cancellation.at > retention
-
-    /**
-     * Removes expired cancellations, starting with the oldest. They are only roughly in the order in which they were
-     * stored, so an expired one may stay a little longer, which does no harm.
-     */
+    /** Removes expired cancellations. The known ones are in the order in which this process learned of them. */
     private fun removeExpired() {
         val oldestFirst = known.values.iterator()
-        while (oldestFirst.hasNext() && isExpired(oldestFirst.next().cancellation)) oldestFirst.remove()
+        while (oldestFirst.hasNext() && now() - oldestFirst.next().learnedAt > retention) oldestFirst.remove()
     }
 
     /** Whether the job is known to be cancelled. */
--- a/src/test/kotlin/glenspool/api/HeartbeatAnswersTest.kt
+++ b/src/test/kotlin/glenspool/api/HeartbeatAnswersTest.kt
@@ -31,7 +31,7 @@
         )
 
     private inner class FakeNode : NodeState {
-        override val cancellations = Cancellations("boot", listOf("b", "c"), 200.seconds, { now }) { now }
+        override val cancellations = Cancellations("boot", listOf("b", "c"), 200.seconds) { now }
         var leader: String? = null
         var isIsolated = false
         var isFenced = false
--- a/src/test/kotlin/glenspool/controller/CancellationExchangeTest.kt
+++ b/src/test/kotlin/glenspool/controller/CancellationExchangeTest.kt
@@ -38,7 +38,7 @@
         client: PeerClient,
         onNewCancellations: (List<Cancellation>) -> Unit = {},
     ) {
-        val cancellations = Cancellations("$name-1", listOf(other), 100.seconds, { now }) { now }
+        val cancellations = Cancellations("$name-1", listOf(other), 100.seconds) { now }
         val exchange = CancellationExchange(name, cancellations, client, { now }, { false }, onNewCancellations)
     }
 
@@ -98,7 +98,7 @@
                     openPort(name) { message -> controller.exchange.answer(message).also { answeredBy.add(name) } }
                 Member(name, "here", InetSocketAddress("127.0.0.1", server.port))
             }
-        val cancellations = Cancellations("a-1", members.map { it.name }, 100.seconds, { now }) { now }
+        val cancellations = Cancellations("a-1", members.map { it.name }, 100.seconds) { now }
         val a = CancellationExchange("a", cancellations, PeerClient(members), { now }, { false }) {}
         members.forEach { runExchange(a, it) }
         a.storeChanged(storedCancellation("run-1"))
@@ -120,6 +120,17 @@
         assertTrue(a.exchange.awaitConfirmable("run-1"))
     }
 
+    // A cancellation carried out minutes late was taken for an old one, and confirmed although nobody else knew of it.
+    @Test
+    fun `confirmation waits for the other controller even if the cancellation was requested long ago`() {
+        now = 300.seconds
+        val a = Controller("a", "b", PeerClient(emptyList()))
+        a.exchange.storeChanged(storedCancellation("run-1"))
+        assertTrue(a.cancellations.contains("run-1"))
+        assertFalse(a.exchange.awaitConfirmable("run-1"))
+        assertEquals(listOf("run-1"), a.cancellations.updateFor("b").entries.map { it.job })
+    }
+
     @Test
     fun `confirmation does not wait for a member whose version has no exchange`() {
         val server = HttpListener(InetSocketAddress("127.0.0.1", 0), "old", 4) { Response(Status.NOT_FOUND) }
--- a/src/test/kotlin/glenspool/faults/ControllerRestartChainTest.kt
+++ b/src/test/kotlin/glenspool/faults/ControllerRestartChainTest.kt
@@ -9,8 +9,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * All controllers restart during an outage of the store, some of them several times, after a cancellation was confirmed.
- * None of them can know the cancellation, and its work must end in time nevertheless.
+ * All controllers restart during an outage of the store, some of them several times, after a cancellation was
+ * confirmed. None of them can know the cancellation, and its work must end in time nevertheless.
  */
 class ControllerRestartChainTest {
     /** A simulation in which each worker runs a job of its own, named like the worker. */
--- a/src/test/kotlin/glenspool/simulation/CancellationNode.kt
+++ b/src/test/kotlin/glenspool/simulation/CancellationNode.kt
@@ -62,7 +62,7 @@
         cancellations =
             Cancellations(
                 "$name-$process", others.map { it.name }, settings.cancellationDeadline * 4, ::clock,
-            ) { simulation.now }
+            )
         leases = LeaseRenewalPolicy(settings, 2, ::clock)
         val startedProcess = process
         simulation.after(simulation.random.nextInt(500).milliseconds) { readStorePeriodically(startedProcess) }
