Leases: a leader that has just read the store answers its workers under any settings

Where cancel_s is hardly longer than lease_s that decision refuses every lease, and the service would have stood still. No known deployment has such settings; before, the leader renewed leases there, and its stops and deletions had to be in time, as now.

LeaseRenewalPolicyTest.a leader that has just read the store renews leases even if they are longer than the deadline.

--- a/src/main/kotlin/glenspool/api/HeartbeatAnswers.kt
+++ b/src/main/kotlin/glenspool/api/HeartbeatAnswers.kt
@@ -31,7 +31,7 @@
      * work that it knows to be cancelled. The core itself repeats a stop only after an interval.
      */
     fun withCommands(heartbeat: Heartbeat, reply: WorkerCommands): Response {
-        if (!decide(heartbeat, mayRefuseOnce = false).isRenewed) return refusal()
+        if (!isRenewed(heartbeat, leaseRenewal::decideAsLeader)) return refusal()
         val missingStops = stopsOfCancelledTasks(heartbeat) - reply.commands.toSet()
         return renewal(heartbeat, reply.token, reply.commands + missingStops)
     }
@@ -43,19 +43,21 @@
             return cborResponse(MISDIRECTED, WorkerWire.redirect(leader))
         }
         // A fenced build may not be able to decode the stored data, so it can't determine which work was cancelled.
-        if (node.fenced() || !decide(heartbeat, mayRefuseOnce = true).isRenewed) return refusal()
+        if (node.fenced()) return refusal()
+        if (!isRenewed(heartbeat) { leaseRenewal.decide(heartbeat.machine, it, node.isolated()) }) return refusal()
         // No leader is known, or the worker may not be redirected to it now. An answer with the worker's own token
         // starts no tasks and keeps those that it has running.
         return renewal(heartbeat, heartbeat.token, stopsOfCancelledTasks(heartbeat))
     }
 
-    /** @param mayRefuseOnce whether the worker may be refused because another node may lead */
-    private fun decide(heartbeat: Heartbeat, mayRefuseOnce: Boolean): LeaseDecision {
+    private fun isRenewed(
+        heartbeat: Heartbeat,
+        decide: (cancellationsCompleteUntil: Duration?) -> LeaseDecision,
+    ): Boolean {
         val cancellationsCompleteUntil = node.cancellations.completeUpTo()
-        val isIsolated = mayRefuseOnce && node.isolated()
-        val decision = leaseRenewal.decide(heartbeat.machine, cancellationsCompleteUntil, isIsolated)
+        val decision = decide(cancellationsCompleteUntil)
         decisionLog.record(heartbeat.machine, decision, cancellationsCompleteUntil)
-        return decision
+        return decision.isRenewed
     }
 
     private fun refusal(): Response = cborResponse(Status.SERVICE_UNAVAILABLE, emptyMap())
--- a/src/main/kotlin/glenspool/api/LeaseRenewalPolicy.kt
+++ b/src/main/kotlin/glenspool/api/LeaseRenewalPolicy.kt
@@ -64,6 +64,18 @@
         }
     }
 
+    /**
+     * Returns whether the leader renews a worker's lease, and why. The conditions are those of [decide], but a leader
+     * that has just read the key-value store renews leases under any settings. Where the deadline of cancellations is
+     * hardly longer than a lease, the leader's stops and deletions have to end cancelled work in time.
+     */
+    fun decideAsLeader(cancellationsCompleteUntil: Duration?): LeaseDecision {
+        if (cancellationsCompleteUntil == null) return LeaseDecision.REFUSED_UNREAD
+        val deadline =
+            maxOf(renewalDeadline(cancellationsCompleteUntil), cancellationsCompleteUntil + LEADER_READ_ALLOWANCE)
+        return if (uptime() >= deadline) LeaseDecision.REFUSED_OUTDATED else LeaseDecision.RENEWED
+    }
+
     /**
      * Returns whether an isolated node refuses the worker now, which it does once per lease. A worker that was not
      * answered here recently found no leader at another node and used up much of its lease there, so it is not refused.
@@ -105,6 +117,9 @@
         /** Covers the time from the decision to the answer, and late timers. */
         val ANSWER_MARGIN = 1.seconds
 
+        /** A leader reads the key-value store at least once a second, unless its process is overloaded. */
+        val LEADER_READ_ALLOWANCE = 7.seconds
+
         /** How long a worker waits for an answer, see PROTOCOL. */
         val WORKER_TIMEOUT = 4.seconds
 
--- a/src/test/kotlin/glenspool/api/LeaseRenewalPolicyTest.kt
+++ b/src/test/kotlin/glenspool/api/LeaseRenewalPolicyTest.kt
@@ -116,6 +116,16 @@
         }
     }
 
+    @Test
+    fun `a leader that has just read the store renews leases even if they are longer than the deadline`() {
+        val policy = policy(lease = CANCELLATION_DEADLINE + 10.seconds)
+        now = 100.seconds
+        assertTrue(policy.decideAsLeader(now - 1.seconds).isRenewed)
+        assertFalse(policy.decideAsLeader(now - 7.seconds).isRenewed)
+        assertFalse(policy.renewsConnected("m1", cancellationsCompleteUntil = now))
+        assertFalse(policy.decideAsLeader(null).isRenewed)
+    }
+
     @Test
     fun `no renewed lease outlasts the deadline of a cancellation that this node may not have received`() {
         val policy = policy()
