Deferred heartbeats: their memory is bounded by the tasks in them

4,096 heartbeats of the largest size would not fit into a controller's memory. A heartbeat is now refused, as before, once those that wait contain 20,000 tasks.

--- a/src/main/kotlin/glenspool/api/DeferredHeartbeats.kt
+++ b/src/main/kotlin/glenspool/api/DeferredHeartbeats.kt
@@ -1,6 +1,7 @@
 package glenspool.api
 
 import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -13,15 +14,23 @@
  * @property isReady whether waiting any longer is of no use
  */
 internal class DeferredHeartbeats(private val uptime: () -> Duration, private val isReady: () -> Boolean) {
-    private class Deferred(val arrivedAt: Duration, val answer: () -> Unit)
+    private class Deferred(val arrivedAt: Duration, val taskCount: Int, val answer: () -> Unit)
 
     private val queue = LinkedBlockingQueue<Deferred>(MAX_HEARTBEATS)
 
+    /** The number of tasks in all waiting heartbeats, by which their memory is bounded. */
+    private val waitingTasks = AtomicInteger()
+
     /**
-     * Defers a heartbeat. [answer] is called by [run], as soon as the node is ready or the heartbeat has waited for
-     * [MAX_WAIT]. Returns false if too many heartbeats wait.
+     * Defers a heartbeat with [taskCount] tasks. [answer] is called by [run], as soon as the node is ready or the
+     * heartbeat has waited for [MAX_WAIT]. Returns false if too many heartbeats or tasks wait.
      */
-    fun add(answer: () -> Unit): Boolean = queue.offer(Deferred(uptime(), answer))
+    fun add(taskCount: Int, answer: () -> Unit): Boolean {
+        val isWithinLimit = waitingTasks.addAndGet(taskCount) <= MAX_TASKS
+        if (isWithinLimit && queue.offer(Deferred(uptime(), taskCount, answer))) return true
+        waitingTasks.addAndGet(-taskCount)
+        return false
+    }
 
     /** The body of the service thread that answers the deferred heartbeats in order of arrival. */
     fun run() {
@@ -30,14 +39,17 @@
             while (!isReady() && uptime() - next.arrivedAt < MAX_WAIT) {
                 Thread.sleep(CHECK_INTERVAL.inWholeMilliseconds)
             }
+            waitingTasks.addAndGet(-next.taskCount)
             next.answer()
         }
     }
 
     companion object {
-        /** Bounds the memory of waiting heartbeats, of which each takes some kilobytes. */
         const val MAX_HEARTBEATS = 4096
 
+        /** Some megabytes of waiting heartbeats. */
+        const val MAX_TASKS = 20_000
+
         /** Workers wait 4 s for an answer. The difference allows for network latency and late timers. */
         val MAX_WAIT: Duration = 2500.milliseconds
         private val CHECK_INTERVAL = 50.milliseconds
--- a/src/main/kotlin/glenspool/api/WorkerApi.kt
+++ b/src/main/kotlin/glenspool/api/WorkerApi.kt
@@ -57,9 +57,9 @@
     fun answerDeferredHeartbeats() = deferredHeartbeats.run()
 
     private fun answerWithoutCore(heartbeat: Heartbeat, respond: (Response) -> Unit) {
-        val isDeferred =
-            answers.isLearningCancellations() && deferredHeartbeats.add { respond(answers.withoutCore(heartbeat)) }
-        if (!isDeferred) respond(answers.withoutCore(heartbeat))
+        val answer = { respond(answers.withoutCore(heartbeat)) }
+        val isDeferred = answers.isLearningCancellations() && deferredHeartbeats.add(heartbeat.tasks.size, answer)
+        if (!isDeferred) answer()
     }
 
     private fun badRequest(reason: String): Response = cborResponse(Status.BAD_REQUEST, UserWire.error(reason))
--- a/src/test/kotlin/glenspool/api/DeferredHeartbeatsTest.kt
+++ b/src/test/kotlin/glenspool/api/DeferredHeartbeatsTest.kt
@@ -36,7 +36,7 @@
         runner.join()
     }
 
-    private fun add(machine: String): Boolean = heartbeats.add { answered.add(machine) }
+    private fun add(machine: String): Boolean = heartbeats.add(taskCount = 1) { answered.add(machine) }
 
     private fun nextAnswered(): String? = answered.poll(20, TimeUnit.SECONDS)
 
@@ -66,4 +66,15 @@
         repeat(DeferredHeartbeats.MAX_HEARTBEATS) { assertTrue(add("m$it")) }
         assertFalse(add("too many"))
     }
+
+    @Test
+    fun `the number of tasks in waiting heartbeats is limited, and an answered one frees its share`() {
+        assertTrue(heartbeats.add(DeferredHeartbeats.MAX_TASKS) { answered.add("large") })
+        assertFalse(add("too many"))
+        isReady = true
+        runner.start()
+        assertEquals("large", nextAnswered())
+        assertTrue(add("next"))
+        assertEquals("next", nextAnswered())
+    }
 }
