--- a/src/main/kotlin/glenspool/api/DeferredHeartbeats.kt
+++ b/src/main/kotlin/glenspool/api/DeferredHeartbeats.kt
@@ -47,8 +47,8 @@
     companion object {
         const val MAX_HEARTBEATS = 4096
 
-        /** Some megabytes of waiting heartbeats. */
-        const val MAX_TASKS = 20_000
+        /** Sixteen tasks on each of 4,000 machines. Such heartbeats take 12 MB. */
+        const val MAX_TASKS = 64_000
 
         /** Workers wait 4 s for an answer. The difference allows for network latency and late timers. */
         val MAX_WAIT: Duration = 2500.milliseconds
--- a/src/main/kotlin/glenspool/api/HeartbeatAnswers.kt
+++ b/src/main/kotlin/glenspool/api/HeartbeatAnswers.kt
@@ -31,7 +31,7 @@
      * work that it knows to be cancelled. The core itself repeats a stop only after an interval.
      */
     fun withCommands(heartbeat: Heartbeat, reply: WorkerCommands): Response {
-        if (!isRenewed(heartbeat, leaseRenewal::decideAsLeader)) return refusal()
+        if (!mayRenewLease(heartbeat, leaseRenewal::decideAsLeader)) return refusal()
         val missingStops = stopsOfCancelledTasks(heartbeat) - reply.commands.toSet()
         return renewal(heartbeat, reply.token, reply.commands + missingStops)
     }
@@ -44,13 +44,15 @@
         }
         // A fenced build may not be able to decode the stored data, so it can't determine which work was cancelled.
         if (node.fenced()) return refusal()
-        if (!isRenewed(heartbeat) { leaseRenewal.decide(heartbeat.machine, it, node.isolated()) }) return refusal()
+        val mayRenew = mayRenewLease(heartbeat) { leaseRenewal.decide(heartbeat.machine, it, node.isolated()) }
+        if (!mayRenew) return refusal()
         // No leader is known, or the worker may not be redirected to it now. An answer with the worker's own token
         // starts no tasks and keeps those that it has running.
         return renewal(heartbeat, heartbeat.token, stopsOfCancelledTasks(heartbeat))
     }
 
-    private fun isRenewed(
+    /** Makes and logs the decision about the worker's lease. */
+    private fun mayRenewLease(
         heartbeat: Heartbeat,
         decide: (cancellationsCompleteUntil: Duration?) -> LeaseDecision,
     ): Boolean {
--- a/src/main/kotlin/glenspool/api/LeaseDecision.kt
+++ b/src/main/kotlin/glenspool/api/LeaseDecision.kt
@@ -2,7 +2,10 @@
 
 /** What a node does with a worker's lease when it does not redirect the worker, and why. */
 enum class LeaseDecision(val isRenewed: Boolean) {
-    /** The lease ends before the deadline of any cancellation that the node may not have received. */
+    /**
+     * The lease ends before the deadline of any cancellation that the node may not have received, or the node leads and
+     * has just read the key-value store.
+     */
     RENEWED(true),
 
     /** The node knows no cancellations, because it has neither read the key-value store nor reached a node that has. */
--- a/src/test/kotlin/glenspool/api/HeartbeatAnswersTest.kt
+++ b/src/test/kotlin/glenspool/api/HeartbeatAnswersTest.kt
@@ -3,12 +3,12 @@
 import glenspool.config.WorkerSettings
 import glenspool.core.StopCause
 import glenspool.core.cluster.Cancellation
-import glenspool.core.cluster.Cancellations
 import glenspool.core.model.Heartbeat
 import glenspool.core.model.StopTask
 import glenspool.core.model.TaskKey
 import glenspool.core.model.TaskState
 import glenspool.core.model.TaskStatus
+import glenspool.simulation.FakeNodeState
 import glenspool.wire.Cbor
 import glenspool.wire.Fields
 import org.http4k.core.Response
@@ -22,7 +22,7 @@
 /** Which answers renew a worker's lease, and which stops they carry, in simulated time. */
 class HeartbeatAnswersTest {
     private var now = Duration.ZERO
-    private val node = FakeNode()
+    private val node = FakeNodeState { now }
     private val answers = HeartbeatAnswers(WORKERS, otherNodeCount = 2, node)
     private val heartbeat =
         Heartbeat(
@@ -30,21 +30,6 @@
             listOf(running("run-000001", 0), running("run-000002", 0)),
         )
 
-    private inner class FakeNode : NodeState {
-        override val cancellations = Cancellations("boot", listOf("b", "c"), 200.seconds) { now }
-        var leader: String? = null
-        var isIsolated = false
-        var isFenced = false
-
-        override fun uptime() = now
-
-        override fun fenced() = isFenced
-
-        override fun isolated() = isIsolated
-
-        override fun otherLeader() = leader
-    }
-
     private fun running(job: String, task: Int) = TaskStatus(TaskKey(job, task), 1, TaskState.RUNNING, null, false)
 
     private fun fields(response: Response): Fields = Cbor.decodeMap(response.body.stream.readAllBytes())
@@ -53,11 +38,9 @@
     private fun stopped(response: Response): List<Any?> =
         (fields(response)["orders"] as List<*>).map { (it as Map<*, *>)["thread"] }
 
-    private fun readStore() = node.cancellations.recordStoreRead(now)
-
     @Test
     fun `a node without a leader renews leases with the worker's token and stops cancelled work`() {
-        readStore()
+        node.readStore()
         node.cancellations.add(Cancellation("run-000002", now, 1))
         val answer = answers.withoutCore(heartbeat)
         assertEquals(200, answer.status.code)
@@ -78,7 +61,7 @@
         node.leader = "b"
         assertFalse(answers.isLearningCancellations())
         node.leader = null
-        readStore()
+        node.readStore()
         assertFalse(answers.isLearningCancellations())
         assertEquals(200, answers.withoutCore(heartbeat).status.code)
     }
@@ -86,7 +69,7 @@
     // The core repeats a stop only after an interval, so its answer could renew the lease of a cancelled task.
     @Test
     fun `every answer of the leader stops the work that is known to be cancelled`() {
-        readStore()
+        node.readStore()
         node.cancellations.add(Cancellation("run-000002", now, 1))
         val answer = answers.withCommands(heartbeat, WorkerCommands(LEADER_TOKEN, emptyList()))
         assertEquals(200, answer.status.code)
@@ -100,7 +83,7 @@
     // A leader whose reads fail while the renewals of its own lease succeed must not keep cancelled work alive.
     @Test
     fun `a leader renews no lease that could outlast a cancellation it has not received`() {
-        readStore()
+        node.readStore()
         val reply = WorkerCommands(LEADER_TOKEN, emptyList())
         now = 23.seconds
         assertEquals(200, answers.withCommands(heartbeat, reply).status.code)
