Log and metrics: what ends cancelled work, and what is still outstanding

Operators saw a cancelled task run on at about 4,000 machines and had no log that told why. New lines: when the leader learns of a cancellation and when the last of its tasks is gone; each round without a leader with the number of suspects, of those not probed yet, of overdue ones, the age of the oldest and the queued probes (counts in place of up to 4,000 names a second); totals once a minute. No behaviour changes.

--- a/src/main/kotlin/glenspool/controller/CancelledWorkEnforcement.kt
+++ b/src/main/kotlin/glenspool/controller/CancelledWorkEnforcement.kt
@@ -32,6 +32,7 @@
     private val workers: WorkerCalls,
     private val hasLeader: () -> Boolean,
     private val wallTime: () -> Duration,
+    private val metrics: CancelledWorkMetrics,
 ) : AutoCloseable {
     private val tracker = CancelledWorkTracker(cancellationDeadline)
     private val remover = CancelledWorkRemover(cloud, workers)
@@ -46,6 +47,7 @@
         while (true) {
             Thread.sleep(CHECK_INTERVAL.inWholeMilliseconds)
             if (!hasLeader()) enforce()
+            metrics.logTotalsIfDue()
         }
     }
 
@@ -55,7 +57,9 @@
         // Without the cloud's list the machines' addresses are unknown, and without the cloud no machine can be
         // deleted. The next round asks the cloud again.
         val addresses = cloud.listMachines()?.associate { it.id to it.addr }
-        log.info("cancelled work without a leader machines={} cloud={}", suspects.map { it.machine }, addresses != null)
+        metrics.countList(isComplete = addresses != null)
+        metrics.logRound(tracker.counts(wallTime()), pool.queuedCalls)
+        log.debug("machines suspected of cancelled work: {}", suspects.map { it.machine })
         if (addresses == null) return
         suspects.forEach { checkInBackground(it, addresses[it.machine].orEmpty()) }
         deleteOverdue()
@@ -71,12 +75,15 @@
                     inProgress.remove(suspect.machine)
                 }
             }
-        if (!isAccepted) inProgress.remove(suspect.machine)
+        if (isAccepted) return
+        inProgress.remove(suspect.machine)
+        metrics.countRefusedProbe()
     }
 
     /** Probes the machine and stops the cancelled work that it still runs. */
     private fun checkMachine(suspect: SuspectMachine, addr: String) {
         val heartbeat = remover.probe(suspect.machine, addr)
+        metrics.countProbe(isAnswered = heartbeat != null)
         val stops = tracker.recordProbe(suspect, heartbeat)
         if (heartbeat == null || stops.isEmpty()) return
         // The worker's own token is enough, because stops start nothing and a cancellation is never revoked.
@@ -91,7 +98,9 @@
 
     private fun deleteOverdue() {
         for (machines in tracker.overdueMachines(wallTime()).chunked(DeleteMachines.MAX_MACHINES)) {
-            if (remover.delete(machines)) machines.forEach(tracker::recordDeletion)
+            val isDeleted = remover.delete(machines)
+            metrics.countDeletion(machines.size, isDeleted)
+            if (isDeleted) machines.forEach(tracker::recordDeletion)
         }
     }
 
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -108,7 +108,7 @@
     private val cancelledWork =
         CancelledWorkEnforcement(
             settings.workers.cancellationDeadline, cancellations, cache, cloud, workers,
-            leaders::hasLeader, ::wallClock,
+            leaders::hasLeader, ::wallClock, CancelledWorkMetrics(::uptime),
         )
 
     private val users =
--- a/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
@@ -9,6 +9,12 @@
 /** A machine on which the cancelled [jobs] were placed; [since] is the time of the earliest cancellation. */
 data class SuspectMachine(val machine: String, val jobs: Set<String>, val since: Duration)
 
+/**
+ * How many machines are suspected of cancelled work, how many of them were not probed yet or have to be deleted, and how
+ * long ago the earliest of their cancellations was stored.
+ */
+data class SuspectCounts(val suspects: Int, val unprobed: Int, val overdue: Int, val oldestAge: Duration)
+
 /**
  * Tracks cancelled work while there is no leader: which machines have to be probed for it, and for which it is too late
  * for that, so that they have to be deleted. All times are wall-clock times. Thread-safe.
@@ -83,6 +89,16 @@
         return suspect.machine in probedMachines && isLate && !isClear
     }
 
+    /** The counts at [now], for the log. */
+    @Synchronized
+    fun counts(now: Duration) =
+        SuspectCounts(
+            suspects = suspects.size,
+            unprobed = suspects.keys.count { it !in probedMachines },
+            overdue = suspects.values.count { isOverdue(it, now) },
+            oldestAge = suspects.values.maxOfOrNull { now - it.since } ?: Duration.ZERO,
+        )
+
     /** Records that the machine was deleted, with all tasks on it. */
     @Synchronized
     fun recordDeletion(machine: String) = clear(machine, suspects[machine]?.jobs.orEmpty())
--- a/src/main/kotlin/glenspool/core/cluster/ClusterState.kt
+++ b/src/main/kotlin/glenspool/core/cluster/ClusterState.kt
@@ -117,6 +117,11 @@
         quotas.charge(placement.job, +1)
     }
 
+    private fun logIfCancelledWorkIsGone(job: Job) {
+        val cancelledAt = job.cancelledAt ?: return
+        context.log(isImportant = true) { "cancelled-work-gone job=${job.spec.id} after=${context.now - cancelledAt}" }
+    }
+
     /** Removes a placement whose task is not on its machine and can no longer be started there. */
     fun removePlacement(placement: Placement) {
         val job = placement.job
@@ -129,6 +134,9 @@
         quotas.charge(job, -1)
         context.log { "unplace task=$placement machine=${placement.machine} state=${placement.taskState}" }
         if (placement.stage == PlacementStage.PLANNED) job.addUrgentChange() else job.markDirty()
-        if (job.placements.isEmpty()) job.gangAttempt = null
+        if (job.placements.isEmpty()) {
+            job.gangAttempt = null
+            logIfCancelledWorkIsGone(job)
+        }
     }
 }
--- a/src/main/kotlin/glenspool/core/lifecycle/JobEventHandler.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/JobEventHandler.kt
@@ -107,6 +107,13 @@
         }
         job.cancel(version, now - maxOf(Duration.ZERO, context.wallTime - at))
         context.hooks.observer.jobCancelled(job.spec.id)
+        if (job.placements.isNotEmpty()) {
+            context.log(isImportant = true) {
+                val machines = job.placements.values.mapTo(HashSet()) { it.machine }
+                "cancelled job=${job.spec.id} tasks=${job.placements.size} machines=${machines.size} " +
+                    "after=${context.wallTime - at}"
+            }
+        }
         dependencies.jobCancelled(job.spec.id)
         for (placement in job.placements.values.toList()) {
             // No start command can be in flight for a placement that is neither stored nor being stored.
--- a/src/main/kotlin/glenspool/http/CallPool.kt
+++ b/src/main/kotlin/glenspool/http/CallPool.kt
@@ -47,6 +47,9 @@
             { call, _ -> queue.enqueue(call) },
         )
 
+    /** The number of calls that wait for a thread. */
+    val queuedCalls: Int get() = queue.size
+
     /** @throws RejectedExecutionException if the queue is full */
     override fun execute(call: Runnable) {
         if (!tryExecute(call::run)) throw rejection()
