Cancelled work without a leader ends in time on 4,000 machines of which 500 hang

Seen: more than cancel_s after the confirmation, machines that hung still had cancelled work. Cause: the steps to the deletion were not planned against the deadline. (1) Each round first read the whole list, 8 pages at 4,000 machines; three controllers asked with 0.8 of cloud.rps each, so most pages got 429, and one lost page cancelled the round, probes and deletions included. (2) 16 threads probed 500 machines, each for the 3 s timeout: 97 in the 18 s from 0.4 to 0.75 of cancel_s. (3) Only probed machines were deleted. (4) Batches of deletions waited for each other.

Now pages are read on and none twice, deletions, probes and the list do not wait for each other, each controller uses its part of cloud.rps, 128 threads each take the machine that was probed least often, earliest deadline first, and from 0.85 of cancel_s machines that could not be probed are deleted too.

New cases of CancelledWorkTrackerTest for the order and for machines that could not be probed.

--- a/src/main/kotlin/glenspool/cloud/CloudClient.kt
+++ b/src/main/kotlin/glenspool/cloud/CloudClient.kt
@@ -23,6 +23,9 @@
     data object Unknown : ScaleOutOutcome
 }
 
+/** A page of the cloud's list of machines. */
+data class MachinePage(val machines: List<ListedMachine>, val hasNextPage: Boolean)
+
 /** A client of the cloud's API. Each request waits until the cloud's request rate allows it. None is retried. */
 @Suppress("UnstableApiUsage")
 class CloudClient(private val addr: String, private val http: HttpClient, rps: Double) {
@@ -44,12 +47,11 @@
         }
     }
 
-    private class Page(val machines: List<ListedMachine>, val hasNextPage: Boolean)
-
-    private fun readPage(afterMachine: String?): Page? {
+    /** Reads the page of the list that begins after [afterMachine]; null if there was no usable response. */
+    fun readPage(afterMachine: String?): MachinePage? {
         val start = if (afterMachine.isNullOrEmpty()) "" else "&after=$afterMachine"
         return read("/hosts?page=$MACHINES_PER_PAGE$start") {
-            Page(CloudWire.decodeMachines(it), CloudWire.hasNextPage(it))
+            MachinePage(CloudWire.decodeMachines(it), CloudWire.hasNextPage(it))
         }
     }
 
--- a/src/main/kotlin/glenspool/controller/CancelledWorkEnforcement.kt
+++ b/src/main/kotlin/glenspool/controller/CancelledWorkEnforcement.kt
@@ -1,12 +1,8 @@
 package glenspool.controller
 
 import glenspool.cloud.CloudClient
-import glenspool.core.CommandOutcome
-import glenspool.core.DeleteMachines
-import glenspool.core.SendCommands
 import glenspool.core.cluster.Cancellations
 import glenspool.core.cluster.CancelledWorkTracker
-import glenspool.core.cluster.SuspectMachine
 import glenspool.http.CallPool
 import glenspool.logging.loggerOf
 import glenspool.state.JobRecordReader
@@ -14,7 +10,7 @@
 import glenspool.state.StoreCache
 import glenspool.wire.MalformedMessage
 import glenspool.worker.WorkerCalls
-import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -23,24 +19,28 @@
  * according to its store cache, cancelled work was placed, stops the work that still runs there, and finally deletes
  * the machines on which it could not be stopped. None of this starts anything, so it needs no leadership. The next
  * leader finds these machines either free or deleted.
+ *
+ * Deletions, probes and the cloud's list do not wait for each other, because hanging machines and a slow cloud delay
+ * each of them by seconds, while the deadline does not move.
  */
 class CancelledWorkEnforcement(
     cancellationDeadline: Duration,
     private val cancellations: Cancellations,
     private val cache: StoreCache,
-    private val cloud: CloudClient,
-    private val workers: WorkerCalls,
+    cloud: CloudClient,
+    workers: WorkerCalls,
     private val hasLeader: () -> Boolean,
     private val wallTime: () -> Duration,
     private val metrics: CancelledWorkMetrics,
 ) : AutoCloseable {
     private val tracker = CancelledWorkTracker(cancellationDeadline)
     private val remover = CancelledWorkRemover(cloud, workers)
+    private val addresses = MachineAddresses(cloud)
+    private val deletions = CancelledWorkDeletions(tracker, remover, metrics)
+    private val probes = CancelledWorkProbes(tracker, remover, workers, addresses, metrics)
     private val records = JobRecordReader(cache)
-    private val pool = CallPool("overdue", CHECK_THREADS, MAX_QUEUED_CHECKS)
-
-    /** Machines that are being checked at the moment. */
-    private val inProgress = ConcurrentHashMap.newKeySet<String>()
+    private val listPool = CallPool("cancelled-work-list", 1, 1)
+    private val isReadingList = AtomicBoolean()
 
     /** The body of the service thread. */
     fun run() {
@@ -52,56 +52,26 @@
     }
 
     private fun enforce() {
-        val suspects = tracker.machinesToProbe(wallTime(), cancellations.all(), ::machinesOf)
-        if (suspects.isEmpty()) return
-        // Without the cloud's list the machines' addresses are unknown, and without the cloud no machine can be
-        // deleted. The next round asks the cloud again.
-        val addresses = cloud.listMachines()?.associate { it.id to it.addr }
-        metrics.countList(isComplete = addresses != null)
-        metrics.logRound(tracker.counts(wallTime()), pool.queuedCalls)
+        val suspects = tracker.update(wallTime(), cancellations.all(), ::machinesOf)
+        if (suspects.isEmpty()) return addresses.clear()
+        metrics.logRound(tracker.counts(wallTime()))
         log.debug("machines suspected of cancelled work: {}", suspects.map { it.machine })
-        if (addresses == null) return
-        suspects.forEach { checkInBackground(it, addresses[it.machine].orEmpty()) }
-        deleteOverdue()
+        deletions.start(tracker.overdueMachines(wallTime()))
+        probes.start()
+        if (suspects.any { addresses.of(it.machine) == null }) readListInBackground()
     }
 
-    private fun checkInBackground(suspect: SuspectMachine, addr: String) {
-        if (!inProgress.add(suspect.machine)) return
+    private fun readListInBackground() {
+        if (!isReadingList.compareAndSet(false, true)) return
         val isAccepted =
-            pool.tryExecute {
+            listPool.tryExecute {
                 try {
-                    checkMachine(suspect, addr)
+                    metrics.countList(isComplete = addresses.readList())
                 } finally {
-                    inProgress.remove(suspect.machine)
+                    isReadingList.set(false)
                 }
             }
-        if (isAccepted) return
-        inProgress.remove(suspect.machine)
-        metrics.countRefusedProbe()
-    }
-
-    /** Probes the machine and stops the cancelled work that it still runs. */
-    private fun checkMachine(suspect: SuspectMachine, addr: String) {
-        val heartbeat = remover.probe(suspect.machine, addr)
-        metrics.countProbe(isAnswered = heartbeat != null)
-        val stops = tracker.recordProbe(suspect, heartbeat)
-        if (heartbeat == null || stops.isEmpty()) return
-        // The worker's own token is enough, because stops start nothing and a cancellation is never revoked.
-        val commands = SendCommands(suspect.machine, addr, heartbeat.token, heartbeat.incarnation, stops)
-        val (outcome, heartbeatAfter) = workers.sendCommands(commands)
-        log.info(
-            "stop machine={} commands={} reason=cancelled-work leading=false outcome={}",
-            suspect.machine, stops, outcome,
-        )
-        if (outcome == CommandOutcome.DONE) tracker.recordProbe(suspect, heartbeatAfter)
-    }
-
-    private fun deleteOverdue() {
-        for (machines in tracker.overdueMachines(wallTime()).chunked(DeleteMachines.MAX_MACHINES)) {
-            val isDeleted = remover.delete(machines)
-            metrics.countDeletion(machines.size, isDeleted)
-            if (isDeleted) machines.forEach(tracker::recordDeletion)
-        }
+        if (!isAccepted) isReadingList.set(false)
     }
 
     private fun machinesOf(job: String): List<String> {
@@ -115,12 +85,10 @@
         }
     }
 
-    override fun close() = pool.close()
+    override fun close() = listOf(deletions, probes, listPool).forEach { it.close() }
 
     private companion object {
         val log = loggerOf(CancelledWorkEnforcement::class.java)
         val CHECK_INTERVAL = 1.seconds
-        const val CHECK_THREADS = 16
-        const val MAX_QUEUED_CHECKS = 10_000
     }
 }
--- a/src/main/kotlin/glenspool/controller/CancelledWorkMetrics.kt
+++ b/src/main/kotlin/glenspool/controller/CancelledWorkMetrics.kt
@@ -22,9 +22,6 @@
     /** Counts a probe and whether it was answered. */
     fun countProbe(isAnswered: Boolean) = counter(if (isAnswered) "probes-answered" else "probes-unanswered").inc()
 
-    /** Counts a probe that was not sent, because its pool was full. */
-    fun countRefusedProbe() = counter("probes-refused").inc()
-
     /** Counts a request for pages of the cloud's list of machines. */
     fun countList(isComplete: Boolean) = counter(if (isComplete) "lists-read" else "lists-failed").inc()
 
@@ -37,12 +34,12 @@
 
     private fun counter(name: String): Counter = registry.counter(name)
 
-    /** Logs the state of a round: [counts] of the machines, and [queuedProbes], which wait for a thread. */
-    fun logRound(counts: SuspectCounts, queuedProbes: Int) =
+    /** Logs the state of a round. */
+    fun logRound(counts: SuspectCounts) =
         log.info(
-            "cancelled work without a leader suspects={} unprobed={} overdue={} oldest-s={} queued-probes={}",
+            "cancelled work without a leader suspects={} unprobed={} overdue={} oldest-s={}",
             counts.suspects, counts.unprobed, counts.overdue,
-            counts.oldestAge.toString(DurationUnit.SECONDS, AGE_DECIMALS), queuedProbes,
+            counts.oldestAge.toString(DurationUnit.SECONDS, AGE_DECIMALS),
         )
 
     /** Logs the totals if they have changed since they were last logged a minute ago or earlier. */
--- a/src/main/kotlin/glenspool/controller/Clients.kt
+++ b/src/main/kotlin/glenspool/controller/Clients.kt
@@ -16,6 +16,13 @@
     val store = KeyValueStoreClient(settings.storeAddr.hostPort(), http)
     val cloud = CloudClient(settings.cloudAddr.hostPort(), http, settings.cloudLimits.rps)
 
+    /**
+     * For requests that need no leadership. Every controller may send them at the same time, so each uses its part of
+     * the cloud's request rate.
+     */
+    val sharedCloud =
+        CloudClient(settings.cloudAddr.hostPort(), http, settings.cloudLimits.rps / (settings.members.size + 1))
+
     /**
      * Keeps no connections open, since a machine rarely receives a command, and open connections to a large fleet would
      * take half of the sockets.
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -107,7 +107,7 @@
     private val recoveryOperations = RecoveryOperations(settings.node, leadership, recovery) { loop.orderCounts }
     private val cancelledWork =
         CancelledWorkEnforcement(
-            settings.workers.cancellationDeadline, cancellations, cache, cloud, workers,
+            settings.workers.cancellationDeadline, cancellations, cache, clients.sharedCloud, workers,
             leaders::hasLeader, ::wallClock, CancelledWorkMetrics(::uptime),
         )
 
--- a/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
@@ -17,23 +17,32 @@
 
 /**
  * Tracks cancelled work while there is no leader: which machines have to be probed for it, and for which it is too late
- * for that, so that they have to be deleted. All times are wall-clock times. Thread-safe.
+ * for that, so that they have to be deleted. Both are ordered by deadline. All times are wall-clock times. Thread-safe.
  */
 class CancelledWorkTracker(private val cancellationDeadline: Duration) {
     /** The cancelled jobs that were found to have no tasks left on a machine, by machine. */
     private val clearedJobs = HashMap<String, HashSet<String>>()
     private var suspects: Map<String, SuspectMachine> = emptyMap()
 
-    /** Machines for which a probe was attempted since they became suspects, whether it was answered or not. */
-    private val probedMachines = HashSet<String>()
+    /** How often each machine was probed since it became a suspect, whether the probe was answered or not. */
+    private val probeCounts = HashMap<String, Int>()
 
-    /** The machines to probe at [now]. [machinesOf] returns the machines on which a job was placed, as far as known. */
+    /** Machines that are being probed at the moment. */
+    private val probesInProgress = HashSet<String>()
+
+    /** The suspects that were not taken for a probe since the last [update], the most urgent first. */
+    private var probeQueue = ArrayDeque<SuspectMachine>()
+
+    /**
+     * Determines the suspects at [now] and returns them. [machinesOf] returns the machines on which a job was placed,
+     * as far as known.
+     */
     @Synchronized
-    fun machinesToProbe(
+    fun update(
         now: Duration,
         cancellations: List<Cancellation>,
         machinesOf: (String) -> List<String>,
-    ): List<SuspectMachine> {
+    ): Collection<SuspectMachine> {
         val jobs = HashMap<String, HashSet<String>>()
         val since = HashMap<String, Duration>()
         for (cancellation in cancellations.filter { isDue(now - it.at) }) {
@@ -45,9 +54,10 @@
         }
         suspects =
             jobs.mapValues { (machine, cancelled) -> SuspectMachine(machine, cancelled, since.getValue(machine)) }
-        probedMachines.retainAll(suspects.keys)
+        probeCounts.keys.retainAll(suspects.keys)
+        probeQueue = ArrayDeque(suspects.values.sortedWith(compareBy({ probeCounts[it.machine] ?: 0 }, { it.since })))
         if (suspects.isEmpty()) clearedJobs.clear()
-        return suspects.values.toList()
+        return suspects.values
     }
 
     /**
@@ -59,14 +69,45 @@
 
     private fun isCleared(machine: String, job: String) = clearedJobs[machine]?.contains(job) == true
 
+    private fun isClear(suspect: SuspectMachine) = clearedJobs[suspect.machine]?.containsAll(suspect.jobs) == true
+
+    /**
+     * Takes the next suspect to probe that [mayProbe] accepts, and null if there is none left since the last [update].
+     * Those probed least often come first, so that machines which never answer do not keep others from being probed,
+     * and among them those whose deadline is earliest. [recordProbe] has to be called for each.
+     */
+    @Synchronized
+    fun takeProbe(mayProbe: (SuspectMachine) -> Boolean): SuspectMachine? {
+        while (true) {
+            val next = probeQueue.removeFirstOrNull() ?: return null
+            if (next.machine in probesInProgress || isClear(next) || !mayProbe(next)) continue
+            probesInProgress.add(next.machine)
+            return next
+        }
+    }
+
+    /** Records that a suspect that was taken is not probed now. */
+    @Synchronized
+    fun releaseProbe(suspect: SuspectMachine) {
+        probesInProgress.remove(suspect.machine)
+    }
+
     /**
      * Records a probe of the machine, with the heartbeat in its reply or null if there was no reply. Returns the stops
      * for the cancelled tasks that still run there.
      */
     @Synchronized
     fun recordProbe(suspect: SuspectMachine, heartbeat: Heartbeat?): List<StopTask> {
-        probedMachines.add(suspect.machine)
-        if (heartbeat == null) return emptyList()
+        releaseProbe(suspect)
+        probeCounts.merge(suspect.machine, 1, Int::plus)
+        return recordHeartbeat(suspect, heartbeat ?: return emptyList())
+    }
+
+    /**
+     * Records the heartbeat in a reply of the machine. Returns the stops for the cancelled tasks that still run there.
+     */
+    @Synchronized
+    fun recordHeartbeat(suspect: SuspectMachine, heartbeat: Heartbeat): List<StopTask> {
         val remaining = heartbeat.tasks.filter { it.state != TaskState.EXITED && it.key.job in suspect.jobs }
         clear(suspect.machine, suspect.jobs - remaining.map { it.key.job }.toSet())
         return remaining.map { StopTask(it.key, it.attempt, Duration.ZERO, StopCause.CANCELLED) }
@@ -77,16 +118,22 @@
     }
 
     /**
-     * The machines to delete at [now]. Each was probed, and its cancelled work was neither found to be gone nor to be
-     * stopped.
+     * The machines to delete at [now], earliest deadline first: those that were probed and whose cancelled work was
+     * neither found to be gone nor to be stopped, and near the deadline also those that could not be probed in time.
      */
     @Synchronized
-    fun overdueMachines(now: Duration): List<String> = suspects.values.filter { isOverdue(it, now) }.map { it.machine }
+    fun overdueMachines(now: Duration): List<String> =
+        suspects.values
+            .filter { isOverdue(it, now) }
+            .sortedBy { it.since }
+            .map { it.machine }
 
     private fun isOverdue(suspect: SuspectMachine, now: Duration): Boolean {
-        val isLate = now - suspect.since > cancellationDeadline * DELETION_SHARE
-        val isClear = clearedJobs[suspect.machine]?.containsAll(suspect.jobs) == true
-        return suspect.machine in probedMachines && isLate && !isClear
+        if (isClear(suspect)) return false
+        val elapsed = now - suspect.since
+        val wasProbed = suspect.machine in probeCounts
+        return wasProbed && elapsed > cancellationDeadline * DELETION_SHARE ||
+            elapsed > cancellationDeadline * UNPROBED_DELETION_SHARE
     }
 
     /** The counts at [now], for the log. */
@@ -94,7 +141,7 @@
     fun counts(now: Duration) =
         SuspectCounts(
             suspects = suspects.size,
-            unprobed = suspects.keys.count { it !in probedMachines },
+            unprobed = suspects.keys.count { it !in probeCounts },
             overdue = suspects.values.count { isOverdue(it, now) },
             oldestAge = suspects.values.maxOfOrNull { now - it.since } ?: Duration.ZERO,
         )
@@ -113,6 +160,9 @@
          */
         const val DELETION_SHARE = 0.75
 
+        /** The share of the deadline after which machines are deleted even if they could not be probed. */
+        const val UNPROBED_DELETION_SHARE = 0.85
+
         /** Cancellations older than this many deadlines are ignored. */
         const val MAX_AGE_DEADLINES = 2
     }
--- a/src/main/kotlin/glenspool/http/CallPool.kt
+++ b/src/main/kotlin/glenspool/http/CallPool.kt
@@ -47,8 +47,8 @@
             { call, _ -> queue.enqueue(call) },
         )
 
-    /** The number of calls that wait for a thread. */
-    val queuedCalls: Int get() = queue.size
+    /** The number of calls that run or wait for a thread. */
+    val runningCalls: Int get() = unfinishedCalls.get()
 
     /** @throws RejectedExecutionException if the queue is full */
     override fun execute(call: Runnable) {
--- a/src/test/kotlin/glenspool/controller/CancelledWorkAtSizeTest.kt
+++ b/src/test/kotlin/glenspool/controller/CancelledWorkAtSizeTest.kt
@@ -88,7 +88,7 @@
     private fun enforcement(cache: StoreCache, cloud: StandInCloud): CancelledWorkEnforcement {
         val cancellations = Cancellations("boot", emptyList(), CANCELLATION_DEADLINE * 4, startedAt::elapsedNow)
         jobs.forEach { cancellations.add(Cancellation(it, Duration.ZERO, 1)) }
-        val client = CloudClient(cloud.address, HttpClient(800.milliseconds), CLOUD_RPS)
+        val client = CloudClient(cloud.address, HttpClient(800.milliseconds), CLOUD_RPS / NODES)
         return CancelledWorkEnforcement(
             CANCELLATION_DEADLINE, cancellations, cache, client, HangingWorkers { it in hanging },
             hasLeader = { false },
--- a/src/test/kotlin/glenspool/core/CancelledWorkTrackerTest.kt
+++ b/src/test/kotlin/glenspool/core/CancelledWorkTrackerTest.kt
@@ -2,6 +2,7 @@
 
 import glenspool.core.cluster.Cancellation
 import glenspool.core.cluster.CancelledWorkTracker
+import glenspool.core.cluster.SuspectMachine
 import glenspool.core.model.ExitReason
 import glenspool.core.model.StopTask
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -16,10 +17,10 @@
 
     /** The machines to probe after [at] seconds; [cancelledAt] has the second in which each job was cancelled. */
     private fun machinesToProbe(at: Int, cancelledAt: Map<String, Int> = mapOf("a" to 0, "b" to 4)) =
-        tracker.machinesToProbe(
+        tracker.update(
             at.seconds,
             cancelledAt.map { (job, second) -> Cancellation(job, second.seconds, 1) },
-        ) { job -> machinesByJob[job].orEmpty() }
+        ) { job -> machinesByJob[job].orEmpty() }.toList()
 
     private fun machineJobsToProbe(at: Int) = machinesToProbe(at).map { it.machine to it.jobs }
 
@@ -62,6 +63,28 @@
         assertEquals(listOf("m3"), tracker.overdueMachines(36.seconds))
     }
 
+    @Test
+    fun `machines that were never probed and those with the earliest deadline are probed first`() {
+        val (m1, m2, m3) = machinesToProbe(21)
+        assertEquals(listOf(m1, m2, m3), takeProbes())
+        listOf(m1, m2, m3).forEach { tracker.recordProbe(it, null) }
+        assertEquals(emptyList<SuspectMachine>(), takeProbes())
+        machinesToProbe(22, mapOf("b" to 4))
+        machinesToProbe(23)
+        assertEquals(listOf(m1, m2, m3), takeProbes())
+        assertEquals(emptyList<SuspectMachine>(), machinesToProbe(24).let { takeProbes() }, "probes are in progress")
+    }
+
+    private fun takeProbes() = generateSequence { tracker.takeProbe { true } }.toList()
+
+    @Test
+    fun `machines that could not be probed are deleted near the deadline, the earliest first`() {
+        machinesToProbe(35)
+        assertEquals(listOf("m1", "m2"), tracker.overdueMachines(35.seconds))
+        machinesToProbe(39)
+        assertEquals(listOf("m1", "m2", "m3"), tracker.overdueMachines(39.seconds))
+    }
+
     @Test
     fun `machines are not probed for jobs that ended meanwhile or were cancelled long ago`() {
         assertEquals(emptyList<String>(), machinesToProbe(81, mapOf("a" to 0)).map { it.machine })
