The last leader hands overdue cancelled work over instead of deleting machines one by one

Cause: removeOverdueWork probed and deleted each machine by itself, and all requests, those of the other enforcement included, waited for the same limiter.

The core now reports these machines, with the age of the cancellation, to CancelledWorkEnforcement, whose probes and batches are ordered by deadline and which has its own part of the rate. Machines with orphans, which no stored placement names, are covered as before, also while another leader is known. There is one path to a deletion without leadership.

--- a/src/main/kotlin/glenspool/controller/ActionExecutor.kt
+++ b/src/main/kotlin/glenspool/controller/ActionExecutor.kt
@@ -15,7 +15,6 @@
 import glenspool.core.StoreChanges
 import glenspool.core.StoreImageLocations
 import glenspool.core.StoreOutcome
-import glenspool.core.cluster.OverdueMachine
 import glenspool.core.model.FinalState
 import glenspool.core.model.Heartbeat
 import glenspool.http.CallPool
@@ -43,8 +42,6 @@
     private val resignBackoff: Duration,
     private val post: (Event) -> Unit,
 ) : AutoCloseable {
-    private val cancelledWork = CancelledWorkRemover(cloud, workers)
-
     /** Has many threads, since an unreachable machine blocks one for seconds, and tens may be lost together. */
     private val callPool = CallPool("call", MAX_CALL_THREADS, MAX_QUEUED_CALLS)
 
@@ -68,12 +65,6 @@
         }
     }
 
-    /** Removes cancelled work whose deadline has passed, even though this node can't act as leader at the moment. */
-    fun removeOverdueWork(overdue: OverdueMachine) =
-        run(probePool, onFailure = { log.debug("machine {} with overdue work was not checked", overdue.machine) }) {
-            if (cancelledWork.deleteUnlessWorkGone(overdue)) post(Event.DeletionEnded(listOf(overdue.machine), true))
-        }
-
     private fun isLeading(term: Term) = leadership.current() == term
 
     private fun sendCommands(action: SendCommands, term: Term) =
--- a/src/main/kotlin/glenspool/controller/CancelledWorkDeletions.kt
+++ b/src/main/kotlin/glenspool/controller/CancelledWorkDeletions.kt
@@ -14,6 +14,8 @@
     private val tracker: CancelledWorkTracker,
     private val remover: CancelledWorkRemover,
     private val metrics: CancelledWorkMetrics,
+    /** Called with machines whose deletion the cloud has confirmed. */
+    private val onDeleted: (List<String>) -> Unit,
 ) : AutoCloseable {
     private val pool = CallPool("cancelled-work-delete", MAX_REQUESTS, MAX_REQUESTS)
 
@@ -37,7 +39,9 @@
         try {
             val isDeleted = remover.delete(batch)
             metrics.countDeletion(batch.size, isDeleted)
-            if (isDeleted) batch.forEach(tracker::recordDeletion)
+            if (!isDeleted) return
+            batch.forEach(tracker::recordDeletion)
+            onDeleted(batch)
         } catch (e: RuntimeException) {
             log.error("deletion of {} machines failed with an exception and is repeated", batch.size, e)
         } finally {
--- a/src/main/kotlin/glenspool/controller/CancelledWorkEnforcement.kt
+++ b/src/main/kotlin/glenspool/controller/CancelledWorkEnforcement.kt
@@ -2,7 +2,10 @@
 
 import glenspool.cloud.CloudClient
 import glenspool.core.cluster.Cancellations
+import glenspool.core.cluster.CancelledWorkDeadline
 import glenspool.core.cluster.CancelledWorkTracker
+import glenspool.core.cluster.OverdueMachine
+import glenspool.core.cluster.SuspectMachine
 import glenspool.http.CallPool
 import glenspool.logging.loggerOf
 import glenspool.state.JobRecordReader
@@ -10,6 +13,7 @@
 import glenspool.state.StoreCache
 import glenspool.wire.MalformedMessage
 import glenspool.worker.WorkerCalls
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -18,7 +22,8 @@
  * Enforces the cancellation deadline while no leader is known. Every controller then probes the machines on which,
  * according to its store cache, cancelled work was placed, stops the work that still runs there, and finally deletes
  * the machines on which it could not be stopped. None of this starts anything, so it needs no leadership. The next
- * leader finds these machines either free or deleted.
+ * leader finds these machines either free or deleted. The controller that led until then reports the machines on which
+ * it knows of overdue cancelled work, stored or not.
  *
  * Deletions, probes and the cloud's list do not wait for each other, because hanging machines and a slow cloud delay
  * each of them by seconds, while the deadline does not move.
@@ -32,27 +37,45 @@
     private val hasLeader: () -> Boolean,
     private val wallTime: () -> Duration,
     private val metrics: CancelledWorkMetrics,
+    /** Called with machines whose deletion the cloud has confirmed. */
+    onDeleted: (List<String>) -> Unit,
 ) : AutoCloseable {
     private val tracker = CancelledWorkTracker(cancellationDeadline)
     private val remover = CancelledWorkRemover(cloud, workers)
     private val addresses = MachineAddresses(cloud)
-    private val deletions = CancelledWorkDeletions(tracker, remover, metrics)
+    private val deletions = CancelledWorkDeletions(tracker, remover, metrics, onDeleted)
     private val probes = CancelledWorkProbes(tracker, remover, workers, addresses, metrics)
     private val records = JobRecordReader(cache)
     private val listPool = CallPool("cancelled-work-list", 1, 1)
     private val isReadingList = AtomicBoolean()
 
+    private class Report(val suspect: SuspectMachine, val expiresAt: Duration)
+
+    /** Machines that were reported lately. */
+    private val reports = ConcurrentHashMap<String, Report>()
+
     /** The body of the service thread. */
     fun run() {
         while (true) {
             Thread.sleep(CHECK_INTERVAL.inWholeMilliseconds)
-            if (!hasLeader()) enforce()
+            if (!hasLeader() || reports.isNotEmpty()) enforce()
             metrics.logTotalsIfDue()
         }
     }
 
+    /** Adds machines with overdue work to the suspects until they would have been reported again. */
+    fun report(overdue: List<OverdueMachine>) {
+        for (machine in overdue) {
+            addresses.remember(machine.machine, machine.addr)
+            val suspect = SuspectMachine(machine.machine, machine.jobs, since = wallTime() - machine.elapsed)
+            reports[machine.machine] = Report(suspect, expiresAt = wallTime() + REPORT_VALIDITY)
+        }
+    }
+
     private fun enforce() {
-        val suspects = tracker.update(wallTime(), cancellations.all(), ::machinesOf)
+        reports.values.removeIf { it.expiresAt < wallTime() }
+        val placed = if (hasLeader()) emptyList() else cancellations.all()
+        val suspects = tracker.update(wallTime(), placed, reports.values.map { it.suspect }, ::machinesOf)
         if (suspects.isEmpty()) return addresses.clear()
         metrics.logRound(tracker.counts(wallTime()))
         log.debug("machines suspected of cancelled work: {}", suspects.map { it.machine })
@@ -90,5 +113,6 @@
     private companion object {
         val log = loggerOf(CancelledWorkEnforcement::class.java)
         val CHECK_INTERVAL = 1.seconds
+        val REPORT_VALIDITY = CancelledWorkDeadline.REPORT_INTERVAL * 2
     }
 }
--- a/src/main/kotlin/glenspool/controller/CancelledWorkRemover.kt
+++ b/src/main/kotlin/glenspool/controller/CancelledWorkRemover.kt
@@ -1,9 +1,7 @@
 package glenspool.controller
 
 import glenspool.cloud.CloudClient
-import glenspool.core.cluster.OverdueMachine
 import glenspool.core.model.Heartbeat
-import glenspool.core.model.TaskState
 import glenspool.logging.loggerOf
 import glenspool.worker.WorkerCalls
 
@@ -21,16 +19,6 @@
         return workers.probe(addr)?.takeIf { it.machine == machine }
     }
 
-    /**
-     * Deletes the machine unless its heartbeat shows that the cancelled work is gone. Returns whether the cloud
-     * confirmed the deletion.
-     */
-    fun deleteUnlessWorkGone(overdue: OverdueMachine): Boolean {
-        val heartbeat = probe(overdue.machine, overdue.addr)
-        if (heartbeat != null && heartbeat.showsNoWorkOf(overdue.jobs)) return false
-        return delete(listOf(overdue.machine))
-    }
-
     /** Returns whether the cloud confirmed that the machines are gone. */
     fun delete(machines: List<String>): Boolean {
         val isDeleted = cloud.delete(machines)
@@ -38,11 +26,6 @@
         return isDeleted
     }
 
-    private fun Heartbeat.showsNoWorkOf(jobs: Set<String>) =
-        tasks.none {
-            it.key.job in jobs && it.state != TaskState.EXITED
-        }
-
     private companion object {
         val log = loggerOf(CancelledWorkRemover::class.java)
     }
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -6,6 +6,7 @@
 import glenspool.core.Scheduler
 import glenspool.core.SchedulerConfig
 import glenspool.core.SchedulerHooks
+import glenspool.core.cluster.OverdueMachine
 import glenspool.core.model.Heartbeat
 import glenspool.core.model.MachineType
 import glenspool.logging.loggerOf
@@ -27,6 +28,8 @@
     features: FeaturePermits,
     /** Returns the machine types last read or stored; null if none are known yet. */
     knownTypes: () -> List<MachineType>?,
+    /** Called with machines whose cancelled work is overdue while this node can't act as the leader. */
+    onOverdueWork: (List<OverdueMachine>) -> Unit,
     /** Returns how long received heartbeats may have waited before this node read them. */
     intakeLag: () -> Duration,
     /** Null if recovery is not managed. */
@@ -44,6 +47,7 @@
             changeApplier = StoreChangeApplier(cache),
             actions = actions,
             orderSummary = OrderSummary(),
+            onOverdueWork = onOverdueWork,
             backlog = { maxOf(pendingHeartbeats.backlog(), intakeLag()) },
             knownTypes = knownTypes,
             recoveryManager = recoveryManager,
--- a/src/main/kotlin/glenspool/controller/LeadershipTerm.kt
+++ b/src/main/kotlin/glenspool/controller/LeadershipTerm.kt
@@ -74,7 +74,8 @@
 
     private fun pause() {
         if (pausedSince == null) pausedSince = context.clock.elapsedNow()
-        scheduler.overdueMachines(context.clock.elapsedNow()).forEach(context.actions::removeOverdueWork)
+        val overdue = scheduler.overdueMachines(context.clock.elapsedNow())
+        if (overdue.isNotEmpty()) context.onOverdueWork(overdue)
     }
 
     private fun tickRecovery(backlog: Duration) {
--- a/src/main/kotlin/glenspool/controller/MachineAddresses.kt
+++ b/src/main/kotlin/glenspool/controller/MachineAddresses.kt
@@ -29,8 +29,11 @@
         return true
     }
 
-    private fun remember(machine: ListedMachine) {
-        if (machine.addr.isNotEmpty()) addresses[machine.id] = machine.addr
+    private fun remember(machine: ListedMachine) = remember(machine.id, machine.addr)
+
+    /** Remembers the machine's address; an empty one is not known. */
+    fun remember(machine: String, addr: String) {
+        if (addr.isNotEmpty()) addresses[machine] = addr
     }
 
     /** Forgets all addresses. */
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -101,15 +101,16 @@
     private val loop: CoreLoop =
         CoreLoop(
             config, cache, leadership, actions, features, cloudPoller::knownTypes,
+            onOverdueWork = { cancelledWork.report(it) },
             intakeLag = { ports.intakeLag() },
             recoveryManager = recovery,
         )
     private val recoveryOperations = RecoveryOperations(settings.node, leadership, recovery) { loop.orderCounts }
-    private val cancelledWork =
+    private val cancelledWork: CancelledWorkEnforcement =
         CancelledWorkEnforcement(
             settings.workers.cancellationDeadline, cancellations, cache, clients.sharedCloud, workers,
             leaders::hasLeader, ::wallClock, CancelledWorkMetrics(::uptime),
-        )
+        ) { loop.post(Event.DeletionEnded(it, true)) }
 
     private val users =
         UserRouter(
--- a/src/main/kotlin/glenspool/controller/TermContext.kt
+++ b/src/main/kotlin/glenspool/controller/TermContext.kt
@@ -1,5 +1,6 @@
 package glenspool.controller
 
+import glenspool.core.cluster.OverdueMachine
 import glenspool.core.model.MachineType
 import glenspool.rollout.FeaturePermits
 import kotlin.time.Duration
@@ -14,6 +15,8 @@
     val changeApplier: StoreChangeApplier,
     val actions: ActionExecutor,
     val orderSummary: OrderSummary,
+    /** Called with machines whose cancelled work is overdue while this node can't act as the leader. */
+    val onOverdueWork: (List<OverdueMachine>) -> Unit,
     /** Returns the duration of the core's heartbeat backlog. */
     val backlog: () -> Duration,
     /** Returns the machine types last read or stored; null if none are known yet. */
--- a/src/main/kotlin/glenspool/core/cluster/CancelledWorkDeadline.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CancelledWorkDeadline.kt
@@ -4,8 +4,11 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** A machine on which no task of the cancelled [jobs] should be left by now. */
-data class OverdueMachine(val machine: String, val addr: String, val jobs: Set<String>)
+/**
+ * A machine on which no task of the cancelled [jobs] should be left by now. [elapsed]: the time since the earliest of
+ * their cancellations.
+ */
+data class OverdueMachine(val machine: String, val addr: String, val jobs: Set<String>, val elapsed: Duration)
 
 /** Detects machines on which cancelled work has not ended in time for the deadline that was promised to users. */
 class CancelledWorkDeadline(private val context: SchedulingContext, private val cluster: ClusterState) {
@@ -45,14 +48,16 @@
      * A machine is reported again after [REPORT_INTERVAL].
      */
     fun overdueMachines(at: Duration): List<OverdueMachine> {
-        val overdue = cluster.machines.values.filter { isOverdue(it, at) && !wasReportedRecently(it, at) }
-        overdue.forEach { reportedAt[it.id] = at }
-        return overdue.map { OverdueMachine(it.id, it.addr, cancelledJobsOn(it)) }
+        val overdue = cluster.machines.values.mapNotNull { overdueMachine(it, at) }
+        overdue.forEach { reportedAt[it.machine] = at }
+        return overdue
     }
 
-    private fun isOverdue(machine: Machine, at: Duration): Boolean {
-        val since = cancelledSince(machine)
-        return !machine.isDeleting && since != null && at - since > deadline * LATEST_DELETION_SHARE
+    private fun overdueMachine(machine: Machine, at: Duration): OverdueMachine? {
+        if (machine.isDeleting || wasReportedRecently(machine, at)) return null
+        val elapsed = at - (cancelledSince(machine) ?: return null)
+        if (elapsed <= deadline * LATEST_DELETION_SHARE) return null
+        return OverdueMachine(machine.id, machine.addr, cancelledJobsOn(machine), elapsed)
     }
 
     private fun wasReportedRecently(machine: Machine, at: Duration) =
@@ -65,15 +70,16 @@
         return jobs.filter { it.cancelledAt != null }.mapTo(HashSet()) { it.spec.id }
     }
 
-    private companion object {
+    companion object {
+        /** The interval after which a machine with overdue work is reported again. */
+        val REPORT_INTERVAL = 3.seconds
+
         /** The share of the deadline after which the leader deletes the machine. */
-        const val DELETION_SHARE = 0.6
+        private const val DELETION_SHARE = 0.6
 
         /** The share of the deadline after which there is no time left for anything but deleting the machine. */
-        const val LATEST_DELETION_SHARE = 0.8
-        val REPORT_INTERVAL = 3.seconds
-
+        private const val LATEST_DELETION_SHARE = 0.8
         /** The time that workers need to execute the stops of a new leader, before it may delete their machines. */
-        val STOP_GRACE_PERIOD = 6.seconds
+        private val STOP_GRACE_PERIOD = 6.seconds
     }
 }
--- a/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
@@ -34,32 +34,38 @@
     private var probeQueue = ArrayDeque<SuspectMachine>()
 
     /**
-     * Determines the suspects at [now] and returns them. [machinesOf] returns the machines on which a job was placed,
-     * as far as known.
+     * Determines the suspects at [now] and returns them: those of the [cancellations], of which [machinesOf] returns the
+     * machines on which a job was placed, as far as known, and those that were [reported] by the last leader.
      */
     @Synchronized
     fun update(
         now: Duration,
         cancellations: List<Cancellation>,
+        reported: List<SuspectMachine> = emptyList(),
         machinesOf: (String) -> List<String>,
     ): Collection<SuspectMachine> {
-        val jobs = HashMap<String, HashSet<String>>()
-        val since = HashMap<String, Duration>()
+        val found = HashMap<String, SuspectMachine>()
         for (cancellation in cancellations.filter { isDue(now - it.at) }) {
-            for (machine in machinesOf(cancellation.job)) {
-                if (isCleared(machine, cancellation.job)) continue
-                jobs.getOrPut(machine) { HashSet() }.add(cancellation.job)
-                since.merge(machine, cancellation.at, ::minOf)
-            }
+            val jobs = setOf(cancellation.job)
+            machinesOf(cancellation.job).forEach { addSuspect(found, SuspectMachine(it, jobs, cancellation.at)) }
         }
-        suspects =
-            jobs.mapValues { (machine, cancelled) -> SuspectMachine(machine, cancelled, since.getValue(machine)) }
+        reported.forEach { addSuspect(found, it) }
+        suspects = found
         probeCounts.keys.retainAll(suspects.keys)
         probeQueue = ArrayDeque(suspects.values.sortedWith(compareBy({ probeCounts[it.machine] ?: 0 }, { it.since })))
         if (suspects.isEmpty()) clearedJobs.clear()
         return suspects.values
     }
 
+    /** Adds the suspect without the jobs that were found to be gone from it. */
+    private fun addSuspect(found: HashMap<String, SuspectMachine>, suspect: SuspectMachine) {
+        val jobs = suspect.jobs - clearedJobs[suspect.machine].orEmpty()
+        if (jobs.isEmpty()) return
+        found.merge(suspect.machine, suspect.copy(jobs = jobs)) { known, added ->
+            SuspectMachine(known.machine, known.jobs + added.jobs, minOf(known.since, added.since))
+        }
+    }
+
     /**
      * Whether machines are probed for a job that was cancelled [elapsed] ago. Earlier, the replies to heartbeats stop
      * its work; long after the deadline, it is too late in any case.
@@ -67,8 +73,6 @@
     private fun isDue(elapsed: Duration): Boolean =
         elapsed >= cancellationDeadline * PROBE_SHARE && elapsed <= cancellationDeadline * MAX_AGE_DEADLINES
 
-    private fun isCleared(machine: String, job: String) = clearedJobs[machine]?.contains(job) == true
-
     private fun isClear(suspect: SuspectMachine) = clearedJobs[suspect.machine]?.containsAll(suspect.jobs) == true
 
     /**
--- a/src/test/kotlin/glenspool/controller/CancelledWorkAtSizeTest.kt
+++ b/src/test/kotlin/glenspool/controller/CancelledWorkAtSizeTest.kt
@@ -94,6 +94,7 @@
             hasLeader = { false },
             wallTime = ::sinceConfirmation,
             metrics = CancelledWorkMetrics(startedAt::elapsedNow),
+            onDeleted = {},
         )
     }
 
--- a/src/test/kotlin/glenspool/core/CancelledWorkTrackerTest.kt
+++ b/src/test/kotlin/glenspool/core/CancelledWorkTrackerTest.kt
@@ -85,6 +85,17 @@
         assertEquals(listOf("m1", "m2", "m3"), tracker.overdueMachines(39.seconds))
     }
 
+    @Test
+    fun `machines that the last leader reports are suspects beside those of stored placements`() {
+        val reported = listOf(SuspectMachine("m1", setOf("orphan"), 1.seconds), SuspectMachine("m9", setOf("c"), 2.seconds))
+        val cancellations = listOf(Cancellation("a", 0.seconds, 1))
+
+        fun suspects() = tracker.update(35.seconds, cancellations, reported) { listOf("m1") }.toSet()
+        assertEquals(setOf(SuspectMachine("m1", setOf("a", "orphan"), 0.seconds), reported[1]), suspects())
+        tracker.recordProbe(reported[0], heartbeat("m1"))
+        assertEquals(setOf(SuspectMachine("m1", setOf("a"), 0.seconds), reported[1]), suspects())
+    }
+
     @Test
     fun `machines are not probed for jobs that ended meanwhile or were cancelled long ago`() {
         assertEquals(emptyList<String>(), machinesToProbe(81, mapOf("a" to 0)).map { it.machine })
