Cancelled work without a leader: machines found clear stay clear, and none is deleted before it could be probed

What is clear is now remembered as long as the cancellation makes suspects, and a machine must have been a suspect for 4 s, in which a probe ends, before it is deleted unprobed.

--- a/src/main/kotlin/glenspool/core/cluster/CancelledWorkDeadline.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CancelledWorkDeadline.kt
@@ -79,6 +79,7 @@
 
         /** The share of the deadline after which there is no time left for anything but deleting the machine. */
         private const val LATEST_DELETION_SHARE = 0.8
+
         /** The time that workers need to execute the stops of a new leader, before it may delete their machines. */
         private val STOP_GRACE_PERIOD = 6.seconds
     }
--- a/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
@@ -5,6 +5,7 @@
 import glenspool.core.model.StopTask
 import glenspool.core.model.TaskState
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** A machine on which the cancelled [jobs] were placed; [since] is the time of the earliest cancellation. */
 data class SuspectMachine(val machine: String, val jobs: Set<String>, val since: Duration)
@@ -24,6 +25,9 @@
     private val clearedJobs = HashMap<String, HashSet<String>>()
     private var suspects: Map<String, SuspectMachine> = emptyMap()
 
+    /** Since when each suspect has been one, without a break. */
+    private val suspectedAt = HashMap<String, Duration>()
+
     /** How often each machine was probed since it became a suspect, whether the probe was answered or not. */
     private val probeCounts = HashMap<String, Int>()
 
@@ -44,19 +48,28 @@
         reported: List<SuspectMachine> = emptyList(),
         machinesOf: (String) -> List<String>,
     ): Collection<SuspectMachine> {
+        val due = cancellations.filter { isDue(now - it.at) }
+        forgetClearedExcept(due.mapTo(HashSet()) { it.job } + reported.flatMap { it.jobs })
         val found = HashMap<String, SuspectMachine>()
-        for (cancellation in cancellations.filter { isDue(now - it.at) }) {
+        for (cancellation in due) {
             val jobs = setOf(cancellation.job)
             machinesOf(cancellation.job).forEach { addSuspect(found, SuspectMachine(it, jobs, cancellation.at)) }
         }
         reported.forEach { addSuspect(found, it) }
         suspects = found
         probeCounts.keys.retainAll(suspects.keys)
+        suspectedAt.keys.retainAll(suspects.keys)
+        suspects.keys.forEach { suspectedAt.putIfAbsent(it, now) }
         probeQueue = ArrayDeque(suspects.values.sortedWith(compareBy({ probeCounts[it.machine] ?: 0 }, { it.since })))
-        if (suspects.isEmpty()) clearedJobs.clear()
         return suspects.values
     }
 
+    /** Machines are not probed again for a job that was cleared there, as long as it would make them suspects. */
+    private fun forgetClearedExcept(jobs: Set<String>) {
+        clearedJobs.values.forEach { it.retainAll(jobs) }
+        clearedJobs.values.removeIf { it.isEmpty() }
+    }
+
     /** Adds the suspect without the jobs that were found to be gone from it. */
     private fun addSuspect(found: HashMap<String, SuspectMachine>, suspect: SuspectMachine) {
         val jobs = suspect.jobs - clearedJobs[suspect.machine].orEmpty()
@@ -136,8 +149,9 @@
         if (isClear(suspect)) return false
         val elapsed = now - suspect.since
         val wasProbed = suspect.machine in probeCounts
-        return wasProbed && elapsed > cancellationDeadline * DELETION_SHARE ||
-            elapsed > cancellationDeadline * UNPROBED_DELETION_SHARE
+        if (wasProbed) return elapsed > cancellationDeadline * DELETION_SHARE
+        val hadTimeForProbe = now - suspectedAt.getValue(suspect.machine) > PROBE_ALLOWANCE
+        return hadTimeForProbe && elapsed > cancellationDeadline * UNPROBED_DELETION_SHARE
     }
 
     /** The counts at [now], for the log. */
@@ -167,6 +181,9 @@
         /** The share of the deadline after which machines are deleted even if they could not be probed. */
         const val UNPROBED_DELETION_SHARE = 0.85
 
+        /** A machine is not deleted without a probe unless there was time for one, which ends after 4 s at the latest. */
+        val PROBE_ALLOWANCE = 4.seconds
+
         /** Cancellations older than this many deadlines are ignored. */
         const val MAX_AGE_DEADLINES = 2
     }
--- a/src/test/kotlin/glenspool/controller/LastLeaderAtSizeTest.kt
+++ b/src/test/kotlin/glenspool/controller/LastLeaderAtSizeTest.kt
@@ -1,8 +1,8 @@
 package glenspool.controller
 
 import glenspool.cloud.CloudClient
-import glenspool.core.cluster.CancelledWorkDeadline
 import glenspool.core.cluster.Cancellations
+import glenspool.core.cluster.CancelledWorkDeadline
 import glenspool.core.cluster.OverdueMachine
 import glenspool.http.HttpClient
 import glenspool.simulation.HangingWorkers
--- a/src/test/kotlin/glenspool/core/CancelledWorkTrackerTest.kt
+++ b/src/test/kotlin/glenspool/core/CancelledWorkTrackerTest.kt
@@ -17,10 +17,12 @@
 
     /** The machines to probe after [at] seconds; [cancelledAt] has the second in which each job was cancelled. */
     private fun machinesToProbe(at: Int, cancelledAt: Map<String, Int> = mapOf("a" to 0, "b" to 4)) =
-        tracker.update(
-            at.seconds,
-            cancelledAt.map { (job, second) -> Cancellation(job, second.seconds, 1) },
-        ) { job -> machinesByJob[job].orEmpty() }.toList()
+        tracker
+            .update(
+                at.seconds,
+                cancelledAt.map { (job, second) -> Cancellation(job, second.seconds, 1) },
+            ) { job -> machinesByJob[job].orEmpty() }
+            .toList()
 
     private fun machineJobsToProbe(at: Int) = machinesToProbe(at).map { it.machine to it.jobs }
 
@@ -78,16 +80,33 @@
     private fun takeProbes() = generateSequence { tracker.takeProbe { true } }.toList()
 
     @Test
-    fun `machines that could not be probed are deleted near the deadline, the earliest first`() {
+    fun `machines that could not be probed in time are deleted near the deadline, the earliest first`() {
+        machinesToProbe(30)
         machinesToProbe(35)
         assertEquals(listOf("m1", "m2"), tracker.overdueMachines(35.seconds))
         machinesToProbe(39)
         assertEquals(listOf("m1", "m2", "m3"), tracker.overdueMachines(39.seconds))
     }
 
+    @Test
+    fun `machines that become suspects near the deadline are probed before they are deleted`() {
+        machinesToProbe(37)
+        assertEquals(emptyList<String>(), tracker.overdueMachines(37.seconds))
+        val unanswered = generateSequence { tracker.takeProbe { true } }.first()
+        tracker.recordProbe(unanswered, null)
+        assertEquals(listOf("m1"), tracker.overdueMachines(38.seconds))
+    }
+
+    @Test
+    fun `machines whose cancelled work is gone are not suspected again once all are clear`() {
+        machinesToProbe(21).forEach { tracker.recordProbe(it, heartbeat(it.machine)) }
+        repeat(3) { assertEquals(emptyList<SuspectMachine>(), machinesToProbe(22 + it)) }
+    }
+
     @Test
     fun `machines that the last leader reports are suspects beside those of stored placements`() {
-        val reported = listOf(SuspectMachine("m1", setOf("orphan"), 1.seconds), SuspectMachine("m9", setOf("c"), 2.seconds))
+        val reported =
+            listOf(SuspectMachine("m1", setOf("orphan"), 1.seconds), SuspectMachine("m9", setOf("c"), 2.seconds))
         val cancellations = listOf(Cancellation("a", 0.seconds, 1))
 
         fun suspects() = tracker.update(35.seconds, cancellations, reported) { listOf("m1") }.toSet()
