Starts that waited for a thread until their job was cancelled are not sent

Callers would see a task of a job start after its cancellation was confirmed. Cause: a right that has lapsed. Only the leadership was checked again when a thread took the request.

ActionExecutor now leaves out starts of jobs that this node knows to be cancelled, in the one place through which all starts go. A user is told only after the leader knows, so no start is sent after that except one that is on its way already. The core learns from the reply's heartbeat that the task is not there; without a reply the start counts as unanswered, as before.

--- a/src/main/kotlin/glenspool/controller/ActionExecutor.kt
+++ b/src/main/kotlin/glenspool/controller/ActionExecutor.kt
@@ -17,6 +17,7 @@
 import glenspool.core.StoreOutcome
 import glenspool.core.model.FinalState
 import glenspool.core.model.Heartbeat
+import glenspool.core.model.StartTask
 import glenspool.http.CallPool
 import glenspool.logging.loggerOf
 import glenspool.state.KeyValueStoreClient
@@ -31,7 +32,7 @@
 /**
  * Carries out the core's actions through the adapters, each on a pool thread, and posts their outcomes. No request
  * on which a rule depends is sent while the leadership is uncertain. [resignBackoff]: for how long a node that resigns
- * does not stand for election again.
+ * does not stand for election again. [isCancelled]: whether this node knows that the job is cancelled.
  */
 class ActionExecutor(
     private val leadership: Leadership,
@@ -40,6 +41,7 @@
     private val workers: WorkerCalls,
     private val writer: StoreWriter,
     private val resignBackoff: Duration,
+    private val isCancelled: (job: String) -> Boolean,
     private val post: (Event) -> Unit,
 ) : AutoCloseable {
     /** Has many threads, since an unreachable machine blocks one for seconds, and tens may be lost together. */
@@ -75,13 +77,25 @@
             onException = { post(Event.CommandsEnded(action, CommandOutcome.UNKNOWN, null, term)) },
         ) {
             if (isLeading(term)) {
-                val (outcome, heartbeat) = workers.sendCommands(action)
+                val (outcome, heartbeat) = workers.sendCommands(withoutCancelledStarts(action))
                 postCommandsEnded(action, outcome, heartbeat, term)
             } else {
                 postCommandsEnded(action, CommandOutcome.NOT_TRIED, null, term)
             }
         }
 
+    /**
+     * Leaves out the starts of cancelled jobs. The request may have waited for a thread since the core decided on it, and
+     * a user may have been told of the cancellation since. If the machine replies, its heartbeat shows the core that
+     * these tasks are not there.
+     */
+    private fun withoutCancelledStarts(action: SendCommands): SendCommands {
+        val (withheld, sent) = action.commands.partition { it is StartTask && isCancelled(it.key.job) }
+        if (withheld.isEmpty()) return action
+        log.info("starts withheld machine={} tasks={} reason=cancelled-job", action.machine, withheld.map { it.key })
+        return action.copy(commands = sent)
+    }
+
     private fun postCommandsEnded(sent: SendCommands, outcome: CommandOutcome, heartbeat: Heartbeat?, term: Term) {
         if (log.isDebugEnabled) {
             log.debug("direct machine={} commands={} outcome={}", sent.machine, sent.commands, outcome)
--- a/src/main/kotlin/glenspool/controller/Node.kt
+++ b/src/main/kotlin/glenspool/controller/Node.kt
@@ -97,7 +97,9 @@
     private val cloudPoller =
         CloudPoller(settings.cloudLimits.listLag, cloud, store, cache, leadership) { loop.post(it) }
     private val actions =
-        ActionExecutor(leadership, store, cloud, workers, writer, settings.workers.lease) { loop.post(it) }
+        ActionExecutor(
+            leadership, store, cloud, workers, writer, settings.workers.lease, cancellations::contains,
+        ) { loop.post(it) }
     private val loop: CoreLoop =
         CoreLoop(
             config, cache, leadership, actions, features, cloudPoller::knownTypes,
