--- a/src/main/kotlin/glenspool/controller/CancelledWorkDeletions.kt
+++ b/src/main/kotlin/glenspool/controller/CancelledWorkDeletions.kt
@@ -23,8 +23,8 @@
     private val inProgress = ConcurrentHashMap.newKeySet<String>()
 
     /**
-     * Starts the deletion of [machines], the most urgent first. What exceeds [MAX_REQUESTS] requests at a time is left to
-     * the next round, which knows what has become more urgent until then.
+     * Starts the deletion of [machines], the most urgent first. What exceeds [MAX_REQUESTS] requests at a time is left
+     * to the next round, which knows what has become more urgent until then.
      */
     fun start(machines: List<String>) {
         val pending = machines.filter { it !in inProgress }
--- a/src/main/kotlin/glenspool/controller/CancelledWorkProbes.kt
+++ b/src/main/kotlin/glenspool/controller/CancelledWorkProbes.kt
@@ -11,8 +11,8 @@
 import glenspool.worker.WorkerCalls
 
 /**
- * Probes machines for cancelled work and stops it where it still runs. Each thread takes the most urgent machine that is
- * left, so that the order is that of the deadlines whatever number of machines hang. Thread-safe.
+ * Probes machines for cancelled work and stops it where it still runs. Each thread takes the most urgent machine that
+ * is left, so that the order is that of the deadlines, however many machines hang. Thread-safe.
  */
 internal class CancelledWorkProbes(
     private val tracker: CancelledWorkTracker,
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -258,7 +258,8 @@
      * Returns the machines whose cancelled work has to be gone at [at]. While no node can lead because the key-value
      * store is unavailable, deleting these machines is the only action that is safe without leadership: it starts
      * nothing, and the current or next leader finds the machines gone. Other work on the machines is lost, so the
-     * deletion is justified only at the last moment, and only if the machine does not report in time that the work is gone.
+     * deletion is justified only at the last moment, and only if the machine does not report in time that the work is
+     * gone.
      */
     fun overdueMachines(at: Duration): List<OverdueMachine> = cancelledWork.overdueMachines(at)
 
--- a/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
@@ -11,8 +11,8 @@
 data class SuspectMachine(val machine: String, val jobs: Set<String>, val since: Duration)
 
 /**
- * How many machines are suspected of cancelled work, how many of them were not probed yet or have to be deleted, and how
- * long ago the earliest of their cancellations was stored.
+ * How many machines are suspected of cancelled work, how many of them were not probed yet or have to be deleted, and
+ * how long ago the earliest of their cancellations was stored.
  */
 data class SuspectCounts(val suspects: Int, val unprobed: Int, val overdue: Int, val oldestAge: Duration)
 
@@ -38,8 +38,8 @@
     private var probeQueue = ArrayDeque<SuspectMachine>()
 
     /**
-     * Determines the suspects at [now] and returns them: those of the [cancellations], of which [machinesOf] returns the
-     * machines on which a job was placed, as far as known, and those that were [reported] by the last leader.
+     * Determines the suspects at [now] and returns them: those of the [cancellations], of which [machinesOf] returns
+     * the machines on which a job was placed, as far as known, and those that were [reported] by the last leader.
      */
     @Synchronized
     fun update(
@@ -181,7 +181,7 @@
         /** The share of the deadline after which machines are deleted even if they could not be probed. */
         const val UNPROBED_DELETION_SHARE = 0.85
 
-        /** A machine is not deleted without a probe unless there was time for one, which ends after 4 s at the latest. */
+        /** A machine is deleted without a probe only after the time for one, which ends after 4 s at the latest. */
         val PROBE_ALLOWANCE = 4.seconds
 
         /** Cancellations older than this many deadlines are ignored. */
--- /dev/null
+++ b/src/test/kotlin/glenspool/soak/SoakController.kt
@@ -0,0 +1,54 @@
+package glenspool.soak
+
+import java.io.File
+import java.util.concurrent.TimeUnit
+
+/** A controller as a process of its own, from the built jar. Its log goes to a file in the run's directory. */
+internal class SoakController(
+    val name: String,
+    private val settingsFile: File,
+    private val logFile: File,
+    private val history: SoakHistory,
+) {
+    private var process: Process? = null
+
+    @Synchronized
+    fun start() {
+        if (process?.isAlive == true) return
+        val builder = ProcessBuilder(listOf("java") + JVM_OPTIONS + listOf("serve", "--config", settingsFile.path))
+        builder.environment()["LOG_LEVEL"] = "info"
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(logFile))
+        process = builder.start()
+        history.event("$name starts")
+    }
+
+    /** Ends the process without notice. */
+    @Synchronized
+    fun kill() {
+        process?.destroyForcibly()?.waitFor(KILL_SECONDS, TimeUnit.SECONDS)
+        history.event("$name is killed")
+    }
+
+    /** Stops the process from running until [resume]. */
+    fun pause() = signal("STOP")
+
+    /** Lets a paused process go on. */
+    fun resume() = signal("CONT")
+
+    private fun signal(signal: String) {
+        val running = process?.takeIf { it.isAlive } ?: return
+        ProcessBuilder("kill", "-$signal", running.pid().toString()).start().waitFor(KILL_SECONDS, TimeUnit.SECONDS)
+        history.event("$name gets $signal")
+    }
+
+    private companion object {
+        const val KILL_SECONDS = 5L
+
+        /** Those of the run line in deploy/service.toml that matter for behaviour. */
+        val JVM_OPTIONS =
+            listOf(
+                "-Xmx92m", "-Xss256k", "-XX:+ExitOnOutOfMemoryError", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+                "-XX:-UsePerfData", "-cp", "target/glenspool.jar", "glenspool.cli.MainKt",
+            )
+    }
+}
