Invariant: cancelled work seen past its deadline is an error in the log and a count

Reported where a heartbeat is answered that shows such work, and without a leader for machines that were not rid of it although there was time. A report changes nothing else. The stops of an answer that renews a lease are now added in one place for all of them.

--- a/src/main/kotlin/glenspool/api/HeartbeatAnswers.kt
+++ b/src/main/kotlin/glenspool/api/HeartbeatAnswers.kt
@@ -7,6 +7,7 @@
 import glenspool.core.model.StopTask
 import glenspool.core.model.TaskState
 import glenspool.http.cborResponse
+import glenspool.logging.InvariantLog
 import glenspool.wire.WorkerWire
 import org.http4k.core.Response
 import org.http4k.core.Status
@@ -16,7 +17,7 @@
  * Makes the answers to heartbeats. An answer with status 200 renews the worker's lease, so every one of them is made
  * here. Thread-safe.
  */
-internal class HeartbeatAnswers(workers: WorkerSettings, otherNodeCount: Int, private val node: NodeState) {
+internal class HeartbeatAnswers(private val workers: WorkerSettings, otherNodeCount: Int, private val node: NodeState) {
     private val leaseRenewal = LeaseRenewalPolicy(workers, otherNodeCount, node::uptime)
     private val decisionLog = LeaseDecisionLog(node::uptime)
     private val redirectLimiter = RedirectLimiter(workers.lease, node::uptime)
@@ -32,8 +33,7 @@
      */
     fun withCommands(heartbeat: Heartbeat, reply: WorkerCommands): Response {
         if (!mayRenewLease(heartbeat, leaseRenewal::decideAsLeader)) return refusal()
-        val missingStops = stopsOfCancelledTasks(heartbeat) - reply.commands.toSet()
-        return renewal(heartbeat, reply.token, reply.commands + missingStops)
+        return renewal(heartbeat, reply.token, reply.commands)
     }
 
     /** Returns the answer of a node that does not lead or whose core is overloaded. */
@@ -48,7 +48,7 @@
         if (!mayRenew) return refusal()
         // No leader is known, or the worker may not be redirected to it now. An answer with the worker's own token
         // starts no tasks and keeps those that it has running.
-        return renewal(heartbeat, heartbeat.token, stopsOfCancelledTasks(heartbeat))
+        return renewal(heartbeat, heartbeat.token, emptyList())
     }
 
     /** Makes and logs the decision about the worker's lease. */
@@ -64,9 +64,19 @@
 
     private fun refusal(): Response = cborResponse(Status.SERVICE_UNAVAILABLE, emptyMap())
 
+    /** The only answer that renews a lease. It stops all work in the heartbeat that is known to be cancelled. */
     private fun renewal(heartbeat: Heartbeat, token: Long, commands: List<Command>): Response {
         leaseRenewal.recordAnswer(heartbeat.machine)
-        return cborResponse(Status.OK, WorkerWire.heartbeatReply(token, commands))
+        val stops = stopsOfCancelledTasks(heartbeat)
+        stops.forEach { reportIfOverdue(heartbeat, it) }
+        return cborResponse(Status.OK, WorkerWire.heartbeatReply(token, commands + (stops - commands.toSet())))
+    }
+
+    private fun reportIfOverdue(heartbeat: Heartbeat, stop: StopTask) {
+        val age = node.cancellations.ageOf(stop.key.job) ?: return
+        if (age <= workers.cancellationDeadline) return
+        val details = "task=${stop.key} machine=${heartbeat.machine} cancellation-known-for=$age"
+        InvariantLog.report("cancelled-work-past-deadline", details)
     }
 
     /** A cancelled job stays cancelled, so any node may stop its tasks, whichever fencing token is current. */
--- a/src/main/kotlin/glenspool/controller/ActionExecutor.kt
+++ b/src/main/kotlin/glenspool/controller/ActionExecutor.kt
@@ -85,9 +85,9 @@
         }
 
     /**
-     * Leaves out the starts of cancelled jobs. The request may have waited for a thread since the core decided on it, and
-     * a user may have been told of the cancellation since. If the machine replies, its heartbeat shows the core that
-     * these tasks are not there.
+     * Leaves out the starts of cancelled jobs. The request may have waited for a thread since the core decided on it,
+     * and a user may have been told of the cancellation since. If the machine replies, its heartbeat shows the core
+     * that these tasks are not there.
      */
     private fun withoutCancelledStarts(action: SendCommands): SendCommands {
         val (withheld, sent) = action.commands.partition { it is StartTask && isCancelled(it.key.job) }
--- a/src/main/kotlin/glenspool/controller/CancelledWorkEnforcement.kt
+++ b/src/main/kotlin/glenspool/controller/CancelledWorkEnforcement.kt
@@ -7,6 +7,7 @@
 import glenspool.core.cluster.OverdueMachine
 import glenspool.core.cluster.SuspectMachine
 import glenspool.http.CallPool
+import glenspool.logging.InvariantLog
 import glenspool.logging.loggerOf
 import glenspool.state.JobRecordReader
 import glenspool.state.Keys
@@ -79,11 +80,17 @@
         if (suspects.isEmpty()) return addresses.clear()
         metrics.logRound(tracker.counts(wallTime()))
         log.debug("machines suspected of cancelled work: {}", suspects.map { it.machine })
+        tracker.missedDeadlines(wallTime()).forEach(::reportMissedDeadline)
         deletions.start(tracker.overdueMachines(wallTime()))
         probes.start()
         if (suspects.any { addresses.of(it.machine) == null }) readListInBackground()
     }
 
+    private fun reportMissedDeadline(suspect: SuspectMachine) {
+        val details = "machine=${suspect.machine} jobs=${suspect.jobs} cancelled-for=${wallTime() - suspect.since}"
+        InvariantLog.report("cancelled-work-past-deadline", details)
+    }
+
     private fun readListInBackground() {
         if (!isReadingList.compareAndSet(false, true)) return
         val isAccepted =
--- a/src/main/kotlin/glenspool/controller/CancelledWorkMetrics.kt
+++ b/src/main/kotlin/glenspool/controller/CancelledWorkMetrics.kt
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Counter
 import com.codahale.metrics.MetricRegistry
 import glenspool.core.cluster.SuspectCounts
+import glenspool.logging.InvariantLog
 import glenspool.logging.loggerOf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -17,7 +18,7 @@
 class CancelledWorkMetrics(private val uptime: () -> Duration) {
     private val registry by lazy { MetricRegistry() }
     private var loggedAt = Duration.ZERO
-    private var lastTotals = ""
+    private var lastTotals = NO_TOTALS
 
     /** Counts a probe and whether it was answered. */
     fun countProbe(isAnswered: Boolean) = counter(if (isAnswered) "probes-answered" else "probes-unanswered").inc()
@@ -47,7 +48,8 @@
     fun logTotalsIfDue() {
         if (uptime() - loggedAt < LOG_INTERVAL) return
         loggedAt = uptime()
-        val totals = registry.counters.entries.joinToString(" ") { (name, counter) -> "$name=${counter.count}" }
+        val counts = registry.counters.entries.joinToString(" ") { (name, counter) -> "$name=${counter.count}" }
+        val totals = "invariant-violations=${InvariantLog.violationCount} $counts"
         if (totals != lastTotals) log.info("cancelled work totals {}", totals)
         lastTotals = totals
     }
@@ -56,5 +58,8 @@
         val log = loggerOf(CancelledWorkMetrics::class.java)
         val LOG_INTERVAL = 60.seconds
         const val AGE_DECIMALS = 1
+
+        /** The totals of a process that has counted nothing, which are not logged. */
+        const val NO_TOTALS = "invariant-violations=0 "
     }
 }
--- a/src/main/kotlin/glenspool/core/cluster/Cancellations.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Cancellations.kt
@@ -59,6 +59,10 @@
     @Synchronized
     fun contains(job: String): Boolean = job in known
 
+    /** How long this process has known of the job's cancellation; null if it knows of none. */
+    @Synchronized
+    fun ageOf(job: String): Duration? = known[job]?.let { now() - it.learnedAt }
+
     /** All known cancellations, oldest first. */
     @Synchronized
     fun all(): List<Cancellation> = known.values.map { it.cancellation }
--- a/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
@@ -28,6 +28,9 @@
     /** Since when each suspect has been one, without a break. */
     private val suspectedAt = HashMap<String, Duration>()
 
+    /** Suspects that [missedDeadlines] has returned. */
+    private val reportedMisses = HashSet<String>()
+
     /** How often each machine was probed since it became a suspect, whether the probe was answered or not. */
     private val probeCounts = HashMap<String, Int>()
 
@@ -60,6 +63,7 @@
         probeCounts.keys.retainAll(suspects.keys)
         suspectedAt.keys.retainAll(suspects.keys)
         suspects.keys.forEach { suspectedAt.putIfAbsent(it, now) }
+        reportedMisses.retainAll(suspects.keys)
         probeQueue = ArrayDeque(suspects.values.sortedWith(compareBy({ probeCounts[it.machine] ?: 0 }, { it.since })))
         return suspects.values
     }
@@ -154,6 +158,20 @@
         return hadTimeForProbe && elapsed > cancellationDeadline * UNPROBED_DELETION_SHARE
     }
 
+    /**
+     * The suspects whose deadline has passed at [now] although there was time to probe and delete them. Each is returned
+     * once.
+     */
+    @Synchronized
+    fun missedDeadlines(now: Duration): List<SuspectMachine> =
+        suspects.values.filter { hasMissedDeadline(it, now) && reportedMisses.add(it.machine) }
+
+    private fun hasMissedDeadline(suspect: SuspectMachine, now: Duration): Boolean {
+        val suspectedAfter = suspectedAt.getValue(suspect.machine) - suspect.since
+        val hadTime = suspectedAfter <= cancellationDeadline * DELETION_SHARE
+        return hadTime && !isClear(suspect) && now - suspect.since > cancellationDeadline
+    }
+
     /** The counts at [now], for the log. */
     @Synchronized
     fun counts(now: Duration) =
--- a/src/test/kotlin/glenspool/api/HeartbeatAnswersTest.kt
+++ b/src/test/kotlin/glenspool/api/HeartbeatAnswersTest.kt
@@ -8,6 +8,7 @@
 import glenspool.core.model.TaskKey
 import glenspool.core.model.TaskState
 import glenspool.core.model.TaskStatus
+import glenspool.logging.InvariantLog
 import glenspool.simulation.FakeNodeState
 import glenspool.wire.Cbor
 import glenspool.wire.Fields
@@ -48,6 +49,23 @@
         assertEquals(listOf("run-000002/0"), stopped(answer))
     }
 
+    @Test
+    fun `work seen past the deadline of its cancellation is reported and stopped`() {
+        node.readStore()
+        node.cancellations.add(Cancellation("run-000002", now, 1))
+
+        fun reportsOfAnswer(): Long {
+            val before = InvariantLog.violationCount
+            node.readStore()
+            assertEquals(listOf("run-000002/0"), stopped(answers.withoutCore(heartbeat)))
+            return InvariantLog.violationCount - before
+        }
+        now += WORKERS.cancellationDeadline
+        assertEquals(0, reportsOfAnswer())
+        now += 1.seconds
+        assertEquals(1, reportsOfAnswer())
+    }
+
     @Test
     fun `a node that knows no cancellations refuses heartbeats, and learns them only if it can`() {
         assertTrue(answers.isLearningCancellations())
--- a/src/test/kotlin/glenspool/core/CancelledWorkTrackerTest.kt
+++ b/src/test/kotlin/glenspool/core/CancelledWorkTrackerTest.kt
@@ -103,6 +103,20 @@
         repeat(3) { assertEquals(emptyList<SuspectMachine>(), machinesToProbe(22 + it)) }
     }
 
+    @Test
+    fun `machines that are not rid of cancelled work by its deadline are named once, unless there was no time for it`() {
+        val jobA = mapOf("a" to 0)
+        val m1 = machinesToProbe(21, jobA).first()
+        tracker.recordProbe(m1, heartbeat("m1"))
+        machinesToProbe(40, jobA)
+        assertEquals(emptyList<SuspectMachine>(), tracker.missedDeadlines(40.seconds))
+        assertEquals(listOf("m2"), tracker.missedDeadlines(41.seconds).map { it.machine })
+        assertEquals(emptyList<SuspectMachine>(), tracker.missedDeadlines(42.seconds))
+        machinesToProbe(43, emptyMap())
+        machinesToProbe(44, jobA)
+        assertEquals(emptyList<SuspectMachine>(), tracker.missedDeadlines(44.seconds))
+    }
+
     @Test
     fun `machines that the last leader reports are suspects beside those of stored placements`() {
         val reported =
--- a/src/test/kotlin/glenspool/soak/SoakRun.kt
+++ b/src/test/kotlin/glenspool/soak/SoakRun.kt
@@ -12,6 +12,9 @@
 
 /** One run: controllers, users and troubles of one seed, checked from outside. */
 internal class SoakRun(private val settings: SoakSettings) {
+    /** Jobs whose tasks were found after the deadline of their cancellation. */
+    private val reportedJobs = HashSet<String>()
+
     fun play(): SoakResult =
         SoakCluster(settings).use { cluster ->
             val checker = Executors.newSingleThreadScheduledExecutor { Thread(it).apply { isDaemon = true } }
@@ -29,7 +32,7 @@
                 Thread.sleep((settings.cancellationDeadline + 1.seconds).inWholeMilliseconds)
             }
             checker.shutdownNow()
-            val ownFindings = cluster.logLinesWith("VIOLATION")
+            val ownFindings = cluster.logLinesWith("INVARIANT VIOLATION")
             ownFindings.take(MAX_FINDINGS).forEach { cluster.history.violation("own check", it) }
             result(cluster)
         }
@@ -52,14 +55,12 @@
     private fun check(cluster: SoakCluster) {
         val overdue = cluster.history.overdueTasks(settings.cancellationDeadline)
         for ((key, machines) in overdue) {
-            if (reported.add(key.job)) {
+            if (reportedJobs.add(key.job)) {
                 cluster.history.violation("ran_cancelled", "$key on $machines, ${settings.cancellationDeadline} passed")
             }
         }
     }
 
-    private val reported = HashSet<String>()
-
     private fun result(cluster: SoakCluster): SoakResult {
         val history = cluster.history
         val summary =
--- a/src/test/kotlin/glenspool/soak/SoakTroubles.kt
+++ b/src/test/kotlin/glenspool/soak/SoakTroubles.kt
@@ -19,6 +19,7 @@
     /** Plans the troubles between [from] and the end of the trouble time, and carries them out. */
     fun play(from: Duration) {
         val end = from + settings.troubleTime
+        hangWithoutLeader(from + seconds(0, LATEST_MEETING_SECONDS))
         var at = from
         while (at < end) {
             plan(at, end)
@@ -49,7 +50,11 @@
                 step(at, "$count machines mute for $length") {
                     cluster.fleet.troubleWorkers(count, Random(seed)) { it.muteUntil = at + length }
                 }
-            4, 5 -> step(at, "store out for $length") { cluster.store.downUntil = at + length }
+            4, 5 ->
+                step(at, "store out for $length") {
+                    cluster.store.downUntil =
+                        maxOf(cluster.store.downUntil, at + length)
+                }
             6 -> step(at, "store refuses $node for $length") { cluster.store.refusedUntil[node] = at + length }
             7 -> kill(at, node, seconds(0, 8))
             8 -> pause(at, node, seconds(1, 10))
@@ -65,11 +70,24 @@
     /** Machines hang, and users cancel many jobs at the same time. */
     private fun hang(at: Duration, count: Int, length: Duration, seed: Long) {
         step(at, "$count machines hang for $length") {
-            cluster.fleet.troubleWorkers(count, Random(seed)) { it.hangsUntil = at + length }
+            cluster.fleet.troubleWorkers(count, Random(seed)) { it.hangsUntil = maxOf(it.hangsUntil, at + length) }
         }
         step(at + 500.milliseconds, "users cancel many jobs") { users.cancelMany(settings.workers / 4) }
     }
 
+    /**
+     * Machines hang for longer than the deadline of the cancellations that come then, and the store goes out before the
+     * leader deletes these machines, so that only controllers without a leader can end the work.
+     */
+    private fun hangWithoutLeader(at: Duration) {
+        val deadline = settings.cancellationDeadline
+        val count = settings.workers * random.nextInt(MIN_PERCENT, MAX_PERCENT) / 100
+        hang(at, count, deadline * random.nextDouble(1.1, 1.6), random.nextLong())
+        val outAt = at + deadline * random.nextDouble(0.1, 0.55)
+        val outUntil = at + deadline * random.nextDouble(1.05, 1.4)
+        step(outAt, "store out for ${outUntil - outAt}") { cluster.store.downUntil = outUntil }
+    }
+
     private fun kill(at: Duration, node: String, downTime: Duration) {
         step(at, "$node ends") { cluster.controllers.getValue(node).kill() }
         step(at + downTime, "$node is back") { cluster.controllers.getValue(node).start() }
@@ -114,6 +132,7 @@
 
     private companion object {
         const val TROUBLES = 13
+        const val LATEST_MEETING_SECONDS = 10
         const val MIN_GAP_MILLIS = 1_500L
         const val MAX_GAP_MILLIS = 7_000L
         const val MIN_PERCENT = 5
--- a/src/test/kotlin/glenspool/soak/WorkerListener.kt
+++ b/src/test/kotlin/glenspool/soak/WorkerListener.kt
@@ -19,8 +19,8 @@
 import kotlin.time.Duration
 
 /**
- * Accepts the requests to all workers, each of which has a loopback address of its own. A request to a worker that hangs
- * or is cut off is accepted by the system, and read and executed only when that is over.
+ * Accepts the requests to all workers, each of which has a loopback address of its own. A request to a worker that
+ * hangs or is cut off is accepted by the system, and read and executed only when that is over.
  */
 internal class WorkerListener(private val fleet: SoakFleet) : AutoCloseable {
     private val selector = Selector.open()
@@ -34,7 +34,7 @@
 
     /** Opens the socket of the worker with this number and returns its address. */
     fun open(number: Int): String {
-        val host = "127.${FIRST_NETWORK + number / HOSTS_PER_NETWORK}.${number % HOSTS_PER_NETWORK / BYTE}.${number % BYTE}"
+        val host = "127.1.${number / HOSTS_PER_NETWORK}.${number % HOSTS_PER_NETWORK + 1}"
         val server = ServerSocketChannel.open()
         server.bind(InetSocketAddress(host, 0), BACKLOG)
         server.configureBlocking(false)
@@ -110,9 +110,7 @@
     private companion object {
         const val THREADS = 32
         const val BACKLOG = 64
-        const val FIRST_NETWORK = 1
-        const val HOSTS_PER_NETWORK = 60_000
-        const val BYTE = 250
+        const val HOSTS_PER_NETWORK = 250
         const val SELECT_MILLIS = 20L
         const val READ_TIMEOUT_MILLIS = 3_000
         const val MAX_BODY_BYTES = 128 * 1024
