--- a/src/test/kotlin/glenspool/soak/SoakTroubles.kt
+++ b/src/test/kotlin/glenspool/soak/SoakTroubles.kt
@@ -72,7 +72,7 @@
         step(at, "$count machines hang for $length") {
             cluster.fleet.troubleWorkers(count, Random(seed)) { it.hangsUntil = maxOf(it.hangsUntil, at + length) }
         }
-        step(at + 500.milliseconds, "users cancel many jobs") { users.cancelMany(settings.workers / 4) }
+        step(at + 200.milliseconds, "users cancel many jobs") { users.cancelMany(settings.workers / 4) }
     }
 
     /**
@@ -83,7 +83,8 @@
         val deadline = settings.cancellationDeadline
         val count = settings.workers * random.nextInt(MIN_PERCENT, MAX_PERCENT) / 100
         hang(at, count, deadline * random.nextDouble(1.1, 1.6), random.nextLong())
-        val outAt = at + deadline * random.nextDouble(0.1, 0.55)
+        // The leader deletes a machine that is silent for 0.3 of a lease.
+        val outAt = at + settings.lease * random.nextDouble(0.1, 0.3)
         val outUntil = at + deadline * random.nextDouble(1.05, 1.4)
         step(outAt, "store out for ${outUntil - outAt}") { cluster.store.downUntil = outUntil }
     }
