--- a/src/main/kotlin/glenspool/cloud/CloudClient.kt
+++ b/src/main/kotlin/glenspool/cloud/CloudClient.kt
@@ -29,7 +29,9 @@
 /** A client of the cloud's API. Each request waits until the cloud's request rate allows it. None is retried. */
 @Suppress("UnstableApiUsage")
 class CloudClient(private val addr: String, private val http: HttpClient, rps: Double) {
-    private val limiter by lazy { RateLimiter.create(rps * RATE_SHARE) }
+    /** The rate at which this client sends requests at most. */
+    val requestsPerSecond = rps * RATE_SHARE
+    private val limiter by lazy { RateLimiter.create(requestsPerSecond) }
 
     /**
      * Reads the machine types and returns them in the protocol's form, in which they are stored for other nodes.
@@ -99,17 +101,18 @@
         }
     }
 
-    private companion object {
-        const val OK = 200
-        const val BAD_REQUEST = 400
-        const val UNAVAILABLE = 503
-        const val MACHINES_PER_PAGE = 500
+    companion object {
+        /** How long a request waits for the response. */
+        val TIMEOUT = 5.seconds
+        private const val OK = 200
+        private const val BAD_REQUEST = 400
+        private const val UNAVAILABLE = 503
+        private const val MACHINES_PER_PAGE = 500
 
         /**
          * The share of the cloud's request rate that this node uses. The rest is for another node that may still, or
          * already, send requests as the leader.
          */
-        const val RATE_SHARE = 0.8
-        val TIMEOUT = 5.seconds
+        private const val RATE_SHARE = 0.8
     }
 }
--- a/src/main/kotlin/glenspool/controller/CancelledWorkEnforcement.kt
+++ b/src/main/kotlin/glenspool/controller/CancelledWorkEnforcement.kt
@@ -1,6 +1,7 @@
 package glenspool.controller
 
 import glenspool.cloud.CloudClient
+import glenspool.core.DeleteMachines
 import glenspool.core.cluster.Cancellations
 import glenspool.core.cluster.CancelledWorkDeadline
 import glenspool.core.cluster.CancelledWorkTracker
@@ -18,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /**
  * Enforces the cancellation deadline while no leader is known. Every controller then probes the machines on which,
@@ -30,10 +32,10 @@
  * each of them by seconds, while the deadline does not move.
  */
 class CancelledWorkEnforcement(
-    cancellationDeadline: Duration,
+    private val cancellationDeadline: Duration,
     private val cancellations: Cancellations,
     private val cache: StoreCache,
-    cloud: CloudClient,
+    private val cloud: CloudClient,
     workers: WorkerCalls,
     private val hasLeader: () -> Boolean,
     private val wallTime: () -> Duration,
@@ -57,6 +59,7 @@
 
     /** The body of the service thread. */
     fun run() {
+        logCapacity()
         while (true) {
             Thread.sleep(CHECK_INTERVAL.inWholeMilliseconds)
             if (!hasLeader() || reports.isNotEmpty()) enforce()
@@ -64,6 +67,15 @@
         }
     }
 
+    private fun logCapacity() {
+        val machines = deletableMachines(cancellationDeadline, cloud.requestsPerSecond)
+        if (machines > 0) {
+            log.info("cancelled work without a leader: at most {} hanging machines can be deleted in time", machines)
+        } else {
+            log.warn("cancelled work without a leader: no hanging machine is sure to be deleted in time")
+        }
+    }
+
     /** Adds machines with overdue work to the suspects until they would have been reported again. */
     fun report(overdue: List<OverdueMachine>) {
         for (machine in overdue) {
@@ -117,9 +129,19 @@
 
     override fun close() = listOf(deletions, probes, listPool).forEach { it.close() }
 
-    private companion object {
-        val log = loggerOf(CancelledWorkEnforcement::class.java)
-        val CHECK_INTERVAL = 1.seconds
-        val REPORT_VALIDITY = CancelledWorkDeadline.REPORT_INTERVAL * 2
+    companion object {
+        private val log = loggerOf(CancelledWorkEnforcement::class.java)
+        private val CHECK_INTERVAL = 1.seconds
+        private val REPORT_VALIDITY = CancelledWorkDeadline.REPORT_INTERVAL * 2
+
+        /**
+         * Returns how many machines a controller can delete between the last probe and [deadline] with
+         * [requestsPerSecond] requests to the cloud, if each takes the cloud as long as a request may.
+         */
+        fun deletableMachines(deadline: Duration, requestsPerSecond: Double): Int {
+            val timeToSend = CancelledWorkTracker.timeForDeletions(deadline) - CHECK_INTERVAL - CloudClient.TIMEOUT
+            val requests = (timeToSend.toDouble(DurationUnit.SECONDS) * requestsPerSecond).toInt()
+            return maxOf(requests, 0) * DeleteMachines.MAX_MACHINES
+        }
     }
 }
--- a/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
@@ -186,23 +186,28 @@
     @Synchronized
     fun recordDeletion(machine: String) = clear(machine, suspects[machine]?.jobs.orEmpty())
 
-    private companion object {
+    companion object {
+        /**
+         * Returns how long before the end of [deadline] the deletion of machines begins that do not answer a probe.
+         */
+        fun timeForDeletions(deadline: Duration): Duration = deadline * (1 - DELETION_SHARE)
+
         /** The share of the deadline after which machines are probed. */
-        const val PROBE_SHARE = 0.4
+        private const val PROBE_SHARE = 0.4
 
         /**
          * The share of the deadline after which machines are deleted. The remaining time is needed because the cloud
          * may take seconds, and calls may have to be repeated.
          */
-        const val DELETION_SHARE = 0.75
+        private const val DELETION_SHARE = 0.75
 
         /** The share of the deadline after which machines are deleted even if they could not be probed. */
-        const val UNPROBED_DELETION_SHARE = 0.85
+        private const val UNPROBED_DELETION_SHARE = 0.85
 
         /** A machine is deleted without a probe only after the time for one, which ends after 4 s at the latest. */
-        val PROBE_ALLOWANCE = 4.seconds
+        private val PROBE_ALLOWANCE = 4.seconds
 
         /** Cancellations older than this many deadlines are ignored. */
-        const val MAX_AGE_DEADLINES = 2
+        private const val MAX_AGE_DEADLINES = 2
     }
 }
--- a/src/test/kotlin/glenspool/controller/CancelledWorkAtSizeTest.kt
+++ b/src/test/kotlin/glenspool/controller/CancelledWorkAtSizeTest.kt
@@ -48,6 +48,13 @@
         assertEquals(emptySet<String>(), missed, "${missed.size} of ${hanging.size} machines are not deleted in time")
     }
 
+    @Test
+    fun `how many hanging machines can be deleted in time follows from the cloud's rate and the deadline`() {
+        assertEquals(1_800, CancelledWorkEnforcement.deletableMachines(52.seconds, 10 * 0.8 / 3))
+        assertEquals(1_000, CancelledWorkEnforcement.deletableMachines(49.seconds, 6 * 0.8 / 3))
+        assertEquals(0, CancelledWorkEnforcement.deletableMachines(24.seconds, 10 * 0.8 / 3))
+    }
+
     /** Returns the hanging machines that still exist when the cancellations' deadline has passed. */
     private fun playWithoutLeader(): Set<String> {
         val store = storeWithCancelledJobs()
--- a/src/test/kotlin/glenspool/soak/SoakFleet.kt
+++ b/src/test/kotlin/glenspool/soak/SoakFleet.kt
@@ -72,6 +72,9 @@
     fun troubleWorkers(count: Int, random: Random, apply: (SoakWorker) -> Unit) =
         workers.values.shuffled(random).take(count).forEach(apply)
 
+    /** The states of the machines, for the report of a violation. */
+    fun describe(machines: Set<String>): List<String> = machines.map { workers[it]?.describe() ?: "$it (deleted)" }
+
     fun runTime(job: String): Duration = runTimes[job] ?: 1.seconds
 
     /** Sends a heartbeat. Returns null if there was no response. */
--- a/src/test/kotlin/glenspool/soak/SoakRun.kt
+++ b/src/test/kotlin/glenspool/soak/SoakRun.kt
@@ -56,7 +56,8 @@
         val overdue = cluster.history.overdueTasks(settings.cancellationDeadline)
         for ((key, machines) in overdue) {
             if (reportedJobs.add(key.job)) {
-                cluster.history.violation("ran_cancelled", "$key on $machines, ${settings.cancellationDeadline} passed")
+                val states = cluster.fleet.describe(machines)
+                cluster.history.violation("ran_cancelled", "$key after ${settings.cancellationDeadline} on $states")
             }
         }
     }
