--- a/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CancelledWorkTracker.kt
@@ -159,8 +159,8 @@
     }
 
     /**
-     * The suspects whose deadline has passed at [now] although there was time to probe and delete them. Each is returned
-     * once.
+     * The suspects whose deadline has passed at [now] although there was time to probe and delete them. Each is
+     * returned once.
      */
     @Synchronized
     fun missedDeadlines(now: Duration): List<SuspectMachine> =
--- a/src/test/kotlin/glenspool/core/CancelledWorkTrackerTest.kt
+++ b/src/test/kotlin/glenspool/core/CancelledWorkTrackerTest.kt
@@ -104,7 +104,7 @@
     }
 
     @Test
-    fun `machines that are not rid of cancelled work by its deadline are named once, unless there was no time for it`() {
+    fun `machines that are not rid of cancelled work by its deadline are named once, if there was time for it`() {
         val jobA = mapOf("a" to 0)
         val m1 = machinesToProbe(21, jobA).first()
         tracker.recordProbe(m1, heartbeat("m1"))
--- a/src/test/kotlin/glenspool/soak/SoakWorker.kt
+++ b/src/test/kotlin/glenspool/soak/SoakWorker.kt
@@ -43,8 +43,7 @@
     private var isDeleted = false
 
     /** The state of the machine, for the report of a violation. */
-    fun describe(): String =
-        "$name (hangs until $hangsUntil, cut until $cutUntil, lease renewed at $leaseRenewedAt)"
+    fun describe(): String = "$name (hangs until $hangsUntil, cut until $cutUntil, lease renewed at $leaseRenewedAt)"
 
     /** When requests that arrive now are executed; null if at once. */
     fun heldUntil(): Duration? = maxOf(hangsUntil, cutUntil).takeIf { it > fleet.now }
