--- a/src/test/kotlin/glenspool/soak/SoakController.kt
+++ b/src/test/kotlin/glenspool/soak/SoakController.kt
@@ -15,7 +15,7 @@
     @Synchronized
     fun start() {
         if (process?.isAlive == true) return
-        val builder = ProcessBuilder(listOf("java") + JVM_OPTIONS + listOf("serve", "--config", settingsFile.path))
+        val builder = ProcessBuilder(DeployedRunLine.arguments + settingsFile.path)
         builder.environment()["LOG_LEVEL"] = "info"
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(logFile))
         process = builder.start()
@@ -43,12 +43,5 @@
 
     private companion object {
         const val KILL_SECONDS = 5L
-
-        /** Those of the run line in deploy/service.toml that matter for behaviour. */
-        val JVM_OPTIONS =
-            listOf(
-                "-Xmx92m", "-Xss256k", "-XX:+ExitOnOutOfMemoryError", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-                "-XX:-UsePerfData", "-cp", "target/glenspool.jar", "glenspool.cli.MainKt",
-            )
     }
 }
