--- a/src/test/kotlin/glenspool/simulation/ClusterSimulation.kt
+++ b/src/test/kotlin/glenspool/simulation/ClusterSimulation.kt
@@ -160,6 +160,24 @@
 
     // Faults.
 
+    /** Ends the tasks of the job on one of its machines as failed. Returns the machine. */
+    fun failTasksOnOneMachine(job: String): String = fleet.workers.first { it.failTasksOf(job) > 0 }.id
+
+    /** Restarts the machine immediately, which loses its tasks, its session and the tokens that it has seen. */
+    fun restartMachine(machine: String) = fleet.getValue(machine).restart()
+
+    /**
+     * Delivers a copy of each request that workers have executed and answered so far. Returns the number of tasks that
+     * the copies start, each of which is a violation.
+     */
+    fun deliverCopiesOfCommands(): Int = requests.deliverCopies()
+
+    /** Like [deliverCopiesOfCommands], and copies also arrive at machines that have restarted since. */
+    fun deliverCopiesAcrossRestarts(): Int = requests.deliverCopiesAcrossRestarts()
+
+    /** Whether a worker has executed a request with several commands. */
+    fun hasExecutedSeveralCommandsAtOnce(): Boolean = requests.hasExecutedSeveralCommandsAtOnce()
+
     /** Lets the machine's lease expire, which ends all of its tasks. */
     fun expireLease(machine: String) = fleet.getValue(machine).expireLease()
 
--- a/src/test/kotlin/glenspool/simulation/FaultInjector.kt
+++ b/src/test/kotlin/glenspool/simulation/FaultInjector.kt
@@ -31,6 +31,7 @@
         if (context.chance(faults.zonePartitions)) partitionZone(worker.zone, (10 + context.random.nextInt(50)).seconds)
         if (context.chance(faults.hangs)) worker.hungUntil = randomTimeFromNow(2, 20)
         if (context.chance(faults.preemptionNotices) && worker.isSpot && worker.preemptionAt == null) preempt(worker)
+        if (faults.taskFailures > 0.0 && context.chance(faults.taskFailures)) worker.failRandomTask(context.random)
         if (context.chance(faults.failovers)) leader.endTermWithRandomDelay()
         if (context.chance(faults.storeOutages)) store.downUntil = randomTimeFromNow(3, 15)
     }
--- a/src/test/kotlin/glenspool/simulation/FaultRates.kt
+++ b/src/test/kotlin/glenspool/simulation/FaultRates.kt
@@ -9,6 +9,8 @@
     val messageLoss: Double = 0.0,
     /** Commands that are delivered up to a minute late, after the sender's timeout. */
     val delayedCommands: Double = 0.0,
+    /** Answered commands of which a copy arrives later, after milliseconds to several leases. */
+    val repeatedCommands: Double = 0.0,
     /** Machines that are lost with all of their tasks. */
     val machineLosses: Double = 0.0,
     /** Machines that are partitioned for a while. Their tasks continue to run. */
@@ -39,6 +41,8 @@
     val heartbeatsForNextTerm: Double = 0.0,
     /** Bursts in which several running jobs are cancelled at about the same time and some of their machines hang. */
     val cancellationBursts: Double = 0.0,
+    /** Machines on which a running task fails. */
+    val taskFailures: Double = 0.0,
     /** Upper bound of the random additional delay, in seconds, before the cloud answers a deletion. */
     val maxDeletionDelaySeconds: Int = 0,
     /** Elected leaders that run the version in production, which does not support dependencies of jobs. */
--- a/src/test/kotlin/glenspool/simulation/SimulatedWorker.kt
+++ b/src/test/kotlin/glenspool/simulation/SimulatedWorker.kt
@@ -6,6 +6,7 @@
 import glenspool.core.model.TaskKey
 import glenspool.core.model.TaskState
 import glenspool.core.model.TaskStatus
+import java.util.Random
 import kotlin.time.Duration
 
 /** Identifies an attempt of a task. A worker keeps ended attempts until it receives the command to forget them. */
@@ -95,6 +96,19 @@
     /** Returns the slots of the tasks that have not ended. */
     fun liveSlots(): Set<TaskSlot> = tasks.filterValues { it.isLive }.keys
 
+    /** Ends all live tasks of the job as failed. Returns their number. */
+    fun failTasksOf(job: String): Int {
+        val live = liveSlots().filter { it.job == job }
+        live.forEach { tasks.getValue(it).exit(ExitReason.ERROR) }
+        return live.size
+    }
+
+    /** Ends one of the live tasks as failed, if there is one. */
+    fun failRandomTask(random: Random) {
+        val live = liveSlots().toList().ifEmpty { return }
+        tasks.getValue(live[random.nextInt(live.size)]).exit(ExitReason.ERROR)
+    }
+
     /** Lets the lease expire. All tasks end, and a new incarnation starts. */
     fun expireLease() {
         tasks.clear()
--- a/src/test/kotlin/glenspool/simulation/WorkerRequests.kt
+++ b/src/test/kotlin/glenspool/simulation/WorkerRequests.kt
@@ -16,6 +16,11 @@
     private val leader: SimulatedLeader,
     private val execution: TaskExecution,
 ) {
+    /** A request that the process of a worker has executed; [restarts] identifies the process. */
+    private class ExecutedRequest(val worker: SimulatedWorker, val restarts: Int, val request: SendCommands)
+
+    private val executedRequests = ArrayList<ExecutedRequest>()
+
     fun probe(probe: Probe, scheduler: Scheduler) {
         val worker = fleet[probe.machine]
         context.after(context.networkDelay()) {
@@ -65,6 +70,7 @@
                 return@after
             }
             val outcome = if (execution.execute(worker, request)) CommandOutcome.DONE else CommandOutcome.REFUSED
+            if (outcome == CommandOutcome.DONE) recordExecuted(ExecutedRequest(worker, restarts, request))
             val heartbeat = worker.heartbeat()
             if (context.chance(context.faults.messageLoss)) {
                 context.after(REQUEST_TIMEOUT) { requestEnded(request, scheduler, CommandOutcome.UNKNOWN) }
@@ -74,6 +80,40 @@
         }
     }
 
+    private fun recordExecuted(executed: ExecutedRequest) {
+        executedRequests.add(executed)
+        // No number is drawn without this fault, so that the runs of other seeds stay the same.
+        if (context.faults.repeatedCommands == 0.0 || !context.chance(context.faults.repeatedCommands)) return
+        val longestDelay = if (context.chance(0.3)) SHORT_COPY_DELAY else context.config.lease * MAX_COPY_DELAY_LEASES
+        context.after(longestDelay * context.random.nextDouble()) { deliverCopy(executed) }
+    }
+
+    /**
+     * Delivers a copy of a request that was executed and answered. Returns the number of tasks that it starts; each is
+     * a violation, since the task was started by the request itself. Connections do not outlive a worker's process.
+     */
+    private fun deliverCopy(executed: ExecutedRequest): Int {
+        if (!isSameProcess(executed.worker, executed.restarts)) return 0
+        return executeCopy(executed)
+    }
+
+    private fun executeCopy(executed: ExecutedRequest): Int {
+        val startsBefore = execution.startCount
+        execution.execute(executed.worker, executed.request)
+        val starts = execution.startCount - startsBefore
+        if (starts > 0) context.recordViolation("started_again ${executed.worker.id} ${executed.request.commands}")
+        return starts
+    }
+
+    /** Delivers a copy of each request that a worker's running process has executed. Returns the number of starts. */
+    fun deliverCopies(): Int = executedRequests.toList().sumOf(::deliverCopy)
+
+    /** Like [deliverCopies], and copies also arrive at processes that were started after the request was executed. */
+    fun deliverCopiesAcrossRestarts(): Int = executedRequests.filter { !it.worker.isLost }.sumOf(::executeCopy)
+
+    /** Whether a worker has executed a request with several commands. */
+    fun hasExecutedSeveralCommandsAtOnce(): Boolean = executedRequests.any { it.request.commands.size > 1 }
+
     /** Whether the worker is running and its number of restarts is still [restarts]. */
     private fun isSameProcess(worker: SimulatedWorker, restarts: Int): Boolean {
         val isRunning = !worker.isLost && !worker.isHanging
@@ -92,5 +132,7 @@
     private companion object {
         val CONNECT_TIMEOUT = 800.milliseconds
         val REQUEST_TIMEOUT = 3.seconds
+        val SHORT_COPY_DELAY = 1.seconds
+        const val MAX_COPY_DELAY_LEASES = 5.0
     }
 }
