Workers keep an exited attempt until no copy of its start can be executed

Its start had been carried out and answered at 48.52, the attempt had failed, the worker had been told to forget it at 49.47, and the network delivered the answered call a second time, 8.8 s late.

Cause: a proof that proves less than it is taken for. An answer shows that a start was carried out once; MachineRequests dropped the start then, as one that "can no longer be" executed, and the worker was allowed to forget the attempt. A worker ignores a start of an attempt that it knows; after clear it does not.

Fix: a start counts as executable, answered or not, until the worker has shown a higher token than the start had, or a newer incarnation: with either it rejects every copy, however late and however many. StartFencing decides from that, in one place, when a worker may forget an attempt and when the absence of a task proves that it is gone. Starts of earlier leaders are covered by the election token, which a heartbeat must show before anything is concluded from it. The leader advances the token when exited attempts have been kept for a minute, at once if a heartbeat gets long or a task is missing, twice a lease at most: one small transaction and one more heartbeat of each worker. Commands refused because of the advance are sent again at once. Stored forms and messages stay.

New lines: cause= of an advance, totals of start fencing, orphan-found and orphan-gone, placements= at a term's start, INVARIANT VIOLATION rule=ran_twice when two machines show the same task (an error and a count, ends nothing).

--- a/src/main/kotlin/glenspool/controller/ActionExecutor.kt
+++ b/src/main/kotlin/glenspool/controller/ActionExecutor.kt
@@ -9,6 +9,7 @@
 import glenspool.core.LogMessage
 import glenspool.core.Probe
 import glenspool.core.ReadFinalStates
+import glenspool.core.ReportViolation
 import glenspool.core.Resign
 import glenspool.core.ScaleOut
 import glenspool.core.SendCommands
@@ -19,6 +20,7 @@
 import glenspool.core.model.Heartbeat
 import glenspool.core.model.StartTask
 import glenspool.http.CallPool
+import glenspool.logging.InvariantLog
 import glenspool.logging.loggerOf
 import glenspool.state.KeyValueStoreClient
 import glenspool.state.Keys
@@ -58,11 +60,12 @@
             is Probe -> probe(action)
             is ScaleOut -> scaleOut(action, term)
             is DeleteMachines -> deleteMachines(action, term)
-            is AdvanceFencingToken -> advanceToken()
+            is AdvanceFencingToken -> advanceToken(action)
             is StoreImageLocations -> storeImageLocations(action, term)
             is ReadFinalStates -> readFinalStates(action, term)
             is Resign -> resign(action)
             is LogMessage -> if (action.isImportant) log.info(action.text) else log.debug(action.text)
+            is ReportViolation -> InvariantLog.report(action.rule, action.details)
             is StoreChanges -> if (!writer.offer(term, action)) post(Event.StoreEnded(StoreOutcome.Unknown, term))
         }
     }
@@ -77,8 +80,9 @@
             onException = { post(Event.CommandsEnded(action, CommandOutcome.UNKNOWN, null, term)) },
         ) {
             if (isLeading(term)) {
-                val (outcome, heartbeat) = workers.sendCommands(withoutCancelledStarts(action))
-                postCommandsEnded(action, outcome, heartbeat, term)
+                val sent = withoutCancelledStarts(action)
+                val (outcome, heartbeat) = workers.sendCommands(sent)
+                postCommandsEnded(sent, outcome, heartbeat, term)
             } else {
                 postCommandsEnded(action, CommandOutcome.NOT_TRIED, null, term)
             }
@@ -125,13 +129,13 @@
             post(Event.DeletionEnded(action.machines, isDeleted))
         }
 
-    private fun advanceToken() =
+    private fun advanceToken(action: AdvanceFencingToken) =
         run(callPool, onFailure = { post(Event.FencingTokenAdvanced(null)) }) {
             val token = leadership.advanceToken()
             if (token == null) {
-                log.info("fencing token not advanced; it is tried again while starts are unanswered")
+                log.info("fencing token not advanced cause={}; it is tried again", action.cause.label)
             } else {
-                log.info("fencing token advanced to={}", token)
+                log.info("fencing token advanced to={} cause={}", token, action.cause.label)
             }
             post(Event.FencingTokenAdvanced(token))
         }
--- a/src/main/kotlin/glenspool/controller/LeadershipTerm.kt
+++ b/src/main/kotlin/glenspool/controller/LeadershipTerm.kt
@@ -38,7 +38,10 @@
             // Which jobs have records that an earlier leader has split is known only after the load.
             updateSplitting()
         }
-        log.info("term started token={} jobs={}", term.token, scheduler.jobs.size)
+        log.info(
+            "term started token={} jobs={} placements={}",
+            term.token, scheduler.jobs.size, scheduler.jobs.values.sumOf { it.placements.size },
+        )
     }
 
     /**
--- a/src/main/kotlin/glenspool/controller/OrderSummary.kt
+++ b/src/main/kotlin/glenspool/controller/OrderSummary.kt
@@ -17,7 +17,9 @@
         if (scheduler.now - loggedAt < LOG_INTERVAL) return
         loggedAt = scheduler.now
         val counts = scheduler.orderCounts.snapshot()
-        if (counts.isNotEmpty()) log.info("orders token={} {}", scheduler.token, OrderCounts.describe(counts))
+        if (counts.isEmpty()) return
+        log.info("orders token={} {}", scheduler.token, OrderCounts.describe(counts))
+        log.info("fencing token={} {}", scheduler.token, scheduler.fencingCounts)
     }
 
     private companion object {
--- a/src/main/kotlin/glenspool/core/Actions.kt
+++ b/src/main/kotlin/glenspool/core/Actions.kt
@@ -4,6 +4,7 @@
 import glenspool.core.model.Command
 import glenspool.core.model.FinalState
 import glenspool.core.model.JobRecord
+import glenspool.core.model.StartTask
 
 /** An action that the scheduler asks the rest of the controller to carry out. */
 sealed interface Action
@@ -15,7 +16,9 @@
     val token: Long,
     val incarnation: Long,
     val commands: List<Command>,
-) : Action
+) : Action {
+    val starts: List<StartTask> get() = commands.filterIsInstance<StartTask>()
+}
 
 /** Requests the status of its tasks from a silent machine. */
 data class Probe(val machine: String, val addr: String) : Action
@@ -43,7 +46,7 @@
 }
 
 /** Advances the fencing token, which invalidates commands that are in flight. */
-data object AdvanceFencingToken : Action
+data class AdvanceFencingToken(val cause: TokenAdvanceCause) : Action
 
 /** Resigns the leadership so that another node can lead, because this node can't do the work. */
 data class Resign(val reason: String) : Action
@@ -60,6 +63,9 @@
 /** A line with stable keys for the operators' log. */
 data class LogMessage(val text: String, val isImportant: Boolean) : Action
 
+/** Reports a broken rule of the protocol; [details] are parts of the form `key=value`. */
+data class ReportViolation(val rule: String, val details: String) : Action
+
 /** Stores these changes in one transaction, on the condition that this node still leads. */
 data class StoreChanges(val writes: List<JobWrite>) : Action
 
--- a/src/main/kotlin/glenspool/core/FencingTokenAdvancer.kt
+++ b/src/main/kotlin/glenspool/core/FencingTokenAdvancer.kt
@@ -1,32 +1,39 @@
 package glenspool.core
 
 import glenspool.core.cluster.CommandQueue
+import glenspool.core.cluster.StartFencing
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Advances the fencing token when a start command has been unanswered for too long, so that the command becomes invalid
- * wherever it is in flight.
+ * Advances the fencing token when a start command has been unanswered for too long, or when [StartFencing] waits for
+ * workers to learn a higher token, so that earlier starts become invalid wherever they are in flight.
  */
-class FencingTokenAdvancer(private val context: SchedulingContext, private val commands: CommandQueue) {
-    private var isAdvancing = false
+class FencingTokenAdvancer(
+    private val context: SchedulingContext,
+    private val commands: CommandQueue,
+    private val fencing: StartFencing,
+) {
+    private var advancingFor: TokenAdvanceCause? = null
     private var advancedAt = context.startedAt - INITIAL_ADVANCE_AGE
 
-    /** Advances the token if a start command has been unanswered for too long. */
+    /** Advances the token if there is a cause. */
     fun tick() {
-        if (commands.hasStaleStart()) advance()
-    }
-
-    private fun advance() {
-        if (isAdvancing || context.now - advancedAt < context.config.lease / 2) return
-        isAdvancing = true
-        context.addAction(AdvanceFencingToken)
+        if (advancingFor != null || context.now - advancedAt < context.config.lease / 2) return
+        val cause =
+            if (commands.hasStaleStart()) TokenAdvanceCause.UNANSWERED_START else fencing.tokenAdvanceCause()
+        if (cause == null) return
+        advancingFor = cause
+        context.addAction(AdvanceFencingToken(cause))
     }
 
     /** An advance has ended; [newToken] is null if it failed. */
     fun advanceEnded(newToken: Long?) {
-        isAdvancing = false
+        val cause = advancingFor
+        advancingFor = null
         if (newToken == null || newToken <= context.token) return
         context.advanceToken(newToken)
+        fencing.tokenAdvanced()
+        if (cause != null) context.fencingCounts.tokenAdvanced(cause)
         advancedAt = context.now
     }
 
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -14,6 +14,7 @@
 import glenspool.core.cluster.MissingTaskHandler
 import glenspool.core.cluster.Orphans
 import glenspool.core.cluster.OverdueMachine
+import glenspool.core.cluster.StartFencing
 import glenspool.core.cluster.TypePerformance
 import glenspool.core.lifecycle.Job
 import glenspool.core.lifecycle.JobDependencies
@@ -54,18 +55,19 @@
     private val imageLocations = ImageLocations(context, cluster)
     private val orphans = Orphans(context, cluster)
     private val commands = CommandQueue(context, cluster, deadlines, overload)
-    private val tokenAdvancer = FencingTokenAdvancer(context, commands)
+    private val fencing = StartFencing(context)
+    private val tokenAdvancer = FencingTokenAdvancer(context, commands, fencing)
     private val missingTasks = MissingTaskHandler(context, cluster, commands, overload)
     private val heartbeats =
-        HeartbeatProcessor(context, cluster, orphans, imageLocations, performance, missingTasks)
-    private val heartbeatReplyCommands = HeartbeatReplyCommands(context, cluster)
+        HeartbeatProcessor(context, cluster, orphans, imageLocations, performance, missingTasks, fencing)
+    private val heartbeatReplyCommands = HeartbeatReplyCommands(context, cluster, fencing)
     private val deleter = MachineDeleter(context)
     private val cancelledWork = CancelledWorkDeadline(context, cluster)
     private val failureDetector =
         FailureDetector(context, cluster, commands, overload, deleter, cancelledWork)
     private val splitting = RecordSplitting(context, cluster)
     private val autoscaler = Autoscaler(context, cluster, deadlines, deleter)
-    private val jobSupervisor = JobSupervisor(context, cluster, commands)
+    private val jobSupervisor = JobSupervisor(context, cluster, commands, fencing)
     private val preemptor = Preemptor(context, cluster, commands, deadlines)
     private val placement =
         PlacementScheduler(context, cluster, splitting, deadlines, performance, preemptor, jobSupervisor)
@@ -90,6 +92,9 @@
     /** The orders that were given in this term. */
     val orderCounts: OrderCounts get() = context.orderCounts
 
+    /** What start fencing did in this term. */
+    val fencingCounts: FencingCounts get() = context.fencingCounts
+
     /** Whether placements may be stored outside their job's record. */
     val canSplitRecords: Boolean get() = splitting.isAllowed
 
--- a/src/main/kotlin/glenspool/core/SchedulingContext.kt
+++ b/src/main/kotlin/glenspool/core/SchedulingContext.kt
@@ -33,6 +33,9 @@
     /** The orders that were given in this term. */
     val orderCounts = OrderCounts()
 
+    /** What start fencing did in this term. */
+    val fencingCounts = FencingCounts()
+
     /** Whether a change requires another placement round. */
     var isRoundRequested: Boolean = true
         private set
--- a/src/main/kotlin/glenspool/core/WarmUpFleet.kt
+++ b/src/main/kotlin/glenspool/core/WarmUpFleet.kt
@@ -77,6 +77,8 @@
         if (jobCount % JOBS_PER_CANCELLATION == 0) step { jobCancelled("job-${jobCount - 2}", ++revision, now) }
         for (machine in 0 until MACHINES) sendHeartbeat(machine)
         step { tick() }
+        // Workers may forget exited tasks only after that, and heartbeats would become long.
+        if (jobCount % JOBS_PER_TOKEN_ADVANCE == 0) step { fencingTokenAdvanced(token + 1) }
         if (jobCount % JOBS_PER_LIST == 0) step { machinesListed(List(MACHINES, ::listed)) }
     }
 
@@ -175,8 +177,8 @@
             is DeleteMachines -> ({ deletionEnded(action.machines, false) })
             is Probe -> ({ probeEnded(action.machine, null, false) })
             is ReadFinalStates -> ({ finalStatesRead(action.jobs, emptyMap()) })
-            is AdvanceFencingToken -> ({ fencingTokenAdvanced(null) })
-            is Resign, is StoreImageLocations, is LogMessage -> null
+            is AdvanceFencingToken -> ({ fencingTokenAdvanced(token + 1) })
+            is Resign, is StoreImageLocations, is ReportViolation, is LogMessage -> null
         }
 
     private companion object {
@@ -187,6 +189,7 @@
         const val JOBS_PER_CANCELLATION = 5
         const val JOBS_PER_GANG = 4
         const val JOBS_PER_LIST = 8
+        const val JOBS_PER_TOKEN_ADVANCE = 8
         const val MAX_TASKS = 3
         const val IMAGES = 3
     }
--- a/src/main/kotlin/glenspool/core/cluster/CommandQueue.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CommandQueue.kt
@@ -29,7 +29,7 @@
     private val overload: OverloadMonitor,
 ) {
     private val machinesWithCommands = LinkedHashSet<Machine>()
-    private val machinesWithUnconfirmedStarts = LinkedHashSet<Machine>()
+    private val machinesWithUnansweredStarts = LinkedHashSet<Machine>()
 
     /** Whether the last [flush] deferred starts; the next one then sends the most urgent starts first. */
     private var hasDeferredStarts = false
@@ -126,10 +126,10 @@
     }
 
     private fun startSent(machine: Machine, start: StartTask) {
-        val unconfirmed =
-            UnconfirmedStart(start.key, start.attempt, context.token, machine.incarnation, context.now)
-        machine.requests.startSent(unconfirmed)
-        machinesWithUnconfirmedStarts.add(machine)
+        machine.requests.starts.add(
+            SentStart(start.key, start.attempt, context.token, machine.incarnation, context.now),
+        )
+        machinesWithUnansweredStarts.add(machine)
         machine.placements[start.key]?.markStartSent(context.now)
     }
 
@@ -153,10 +153,19 @@
             requests.delayRequestsUntil(context.now + NO_RESPONSE_RETRY_DELAY)
             return
         }
-        requests.confirmLastRequest(request.token, request.incarnation)
+        if (outcome == CommandOutcome.DONE) {
+            request.starts.forEach { requests.starts.markExecuted(it.key, it.attempt, requests.sentAt) }
+        }
+        // Starts of a request that was executed remain here if they were withheld from it.
+        requests.starts.dropUnexecuted(requests.sentAt)
         if (outcome == CommandOutcome.DONE) return
-        requests.delayRequestsUntil(context.now + FAILURE_RETRY_DELAY)
-        request.commands.filterIsInstance<StartTask>().forEach { markStartNotExecuted(machine, it) }
+        request.starts.forEach { markStartNotExecuted(machine, it) }
+        if (outcome == CommandOutcome.REFUSED && request.token < context.token) {
+            // The token was advanced while the request was in flight.
+            request.commands.forEach { add(machine, it) }
+        } else {
+            requests.delayRequestsUntil(context.now + FAILURE_RETRY_DELAY)
+        }
     }
 
     private fun recordNoResponse(machine: Machine) {
@@ -168,15 +177,15 @@
         if (placement.attempt == start.attempt && placement.stage == PlacementStage.STORED) placement.clearStartSent()
     }
 
-    /** Whether a start was unconfirmed for longer than [START_TIMEOUT], so the fencing token should be advanced. */
+    /** Whether a start was unanswered for longer than [START_TIMEOUT], so the fencing token should be advanced. */
     fun hasStaleStart(): Boolean {
-        val remaining = machinesWithUnconfirmedStarts.iterator()
+        val remaining = machinesWithUnansweredStarts.iterator()
         while (remaining.hasNext()) {
             val machine = remaining.next()
-            val starts = machine.requests.unconfirmedStarts
+            val starts = machine.requests.starts.unanswered
             if (starts.isEmpty() || machine.id !in cluster.machines) {
                 remaining.remove()
-            } else if (starts.any { context.now - it.since > START_TIMEOUT }) {
+            } else if (starts.any { context.now - it.sentAt > START_TIMEOUT }) {
                 return true
             }
         }
--- a/src/main/kotlin/glenspool/core/cluster/HeartbeatProcessor.kt
+++ b/src/main/kotlin/glenspool/core/cluster/HeartbeatProcessor.kt
@@ -4,7 +4,6 @@
 import glenspool.core.SchedulingContext
 import glenspool.core.lifecycle.Job
 import glenspool.core.lifecycle.Placement
-import glenspool.core.lifecycle.PlacementStage
 import glenspool.core.model.ExitReason
 import glenspool.core.model.Heartbeat
 import glenspool.core.model.JobKind
@@ -25,7 +24,9 @@
     private val imageLocations: ImageLocations,
     private val performance: TypePerformance,
     private val missingTasks: MissingTaskHandler,
+    private val fencing: StartFencing,
 ) {
+    private val runningTwice = RunningTwiceCheck(context, cluster)
     private val now: Duration get() = context.now
 
     /** Applies a heartbeat and returns its machine, or null if the heartbeat is outdated or a duplicate. */
@@ -71,26 +72,20 @@
                     present.add(status.key)
                     taskPresent(machine, placement, status)
                 }
-                else -> orphaned[status.key] = job?.resourceRequest ?: Resources.ZERO
+                else -> {
+                    orphaned[status.key] = job?.resourceRequest ?: Resources.ZERO
+                    if (job != null) runningTwice.check(machine, job, status)
+                }
             }
         }
         if (machine.isTrusted) {
             machine.placements.values
-                .filter { isProvedMissing(it, machine, present) }
+                .filter { it.key !in present && fencing.isProvedGone(machine, it) }
                 .forEach { missingTasks.handle(it, machine) }
         }
         orphans.reconcile(machine, orphaned)
     }
 
-    /**
-     * Whether the task is proved to be off the machine. The heartbeat has this leader's token and does not show the
-     * task, and no start of it can still arrive.
-     */
-    private fun isProvedMissing(placement: Placement, machine: Machine, present: Set<TaskKey>): Boolean {
-        if (placement.key in present || placement.stage == PlacementStage.PLANNED) return false
-        return placement.wasStartSent && !machine.requests.hasUnconfirmedStart(placement.key, placement.attempt)
-    }
-
     private fun taskPresent(machine: Machine, placement: Placement, status: TaskStatus) {
         val job = placement.job
         val wasWithoutImage = placement.taskState == null || placement.taskState == TaskState.FETCHING
--- a/src/main/kotlin/glenspool/core/cluster/HeartbeatReplyCommands.kt
+++ b/src/main/kotlin/glenspool/core/cluster/HeartbeatReplyCommands.kt
@@ -20,7 +20,11 @@
  * Determines the commands in the reply to a worker's heartbeat, in addition to those sent in requests: repeated stops,
  * stops of orphans, and which exited tasks the worker may forget.
  */
-class HeartbeatReplyCommands(private val context: SchedulingContext, private val cluster: ClusterState) {
+class HeartbeatReplyCommands(
+    private val context: SchedulingContext,
+    private val cluster: ClusterState,
+    private val fencing: StartFencing,
+) {
     /** The commands for the machine, based on the tasks in its newest heartbeat. */
     fun commandsFor(machine: Machine): List<Command> {
         if (machine.taskStatuses.isEmpty()) return emptyList()
@@ -40,10 +44,9 @@
     }
 
     private fun forget(machine: Machine, job: Job?, status: TaskStatus): ForgetTask? {
-        // A start that is still in flight would start the task again after the worker has forgotten it.
-        if (machine.requests.hasUnconfirmedStart(status.key, status.attempt)) return null
         val isDone = status.exit == ExitReason.DONE && job != null
         if (isDone && isResultNeeded(job, status.key.task)) return null
+        if (!fencing.mayForget(machine, status)) return null
         val cause = if (isDone) ForgetCause.RECORDED else ForgetCause.NO_RESULT
         return ForgetTask(status.key, status.attempt, cause)
     }
--- a/src/main/kotlin/glenspool/core/cluster/Machine.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Machine.kt
@@ -133,8 +133,7 @@
         electionToken: Long,
         now: Duration,
     ) {
-        val isNewIncarnation = heartbeat.incarnation > incarnation
-        requests.dropInvalidStarts(heartbeat.token, heartbeat.incarnation, isNewIncarnation)
+        requests.starts.dropRejected(heartbeat.token, heartbeat.incarnation)
         incarnation = heartbeat.incarnation
         sequence = heartbeat.sequence
         // The worker has learned a newer token, so a message of this leader has reached it.
--- a/src/main/kotlin/glenspool/core/cluster/MachineRequests.kt
+++ b/src/main/kotlin/glenspool/core/cluster/MachineRequests.kt
@@ -5,25 +5,17 @@
 import glenspool.core.model.TaskKey
 import kotlin.time.Duration
 
-/** A start command whose outcome is unknown: it may still be executed while token and incarnation match. */
-data class UnconfirmedStart(
-    val key: TaskKey,
-    val attempt: Long,
-    val token: Long,
-    val incarnation: Long,
-    val since: Duration,
-)
-
 /**
  * The requests to one machine: queued commands, the request in flight, and starts that may still be executed.
  */
 class MachineRequests {
     private val pending = ArrayList<Command>()
-    private val starts = ArrayList<UnconfirmedStart>()
+
+    /** The starts that the worker may still execute. */
+    val starts = SentStarts()
 
     /** Commands that have not been sent yet. */
     val pendingCommands: List<Command> get() = pending
-    val unconfirmedStarts: List<UnconfirmedStart> get() = starts
 
     /** Whether a request is in flight; there is only one at a time. */
     var isInFlight = false
@@ -85,27 +77,4 @@
     fun delayProbesUntil(time: Duration) {
         nextProbeAt = time
     }
-
-    /** Records a start in flight, which may be executed at any later time. */
-    fun startSent(start: UnconfirmedStart) {
-        starts.add(start)
-    }
-
-    /** Removes the starts of the last request, which have been executed or can no longer be. */
-    fun confirmLastRequest(token: Long, incarnation: Long) {
-        starts.removeIf { it.token == token && it.incarnation == incarnation && it.since == sentAt }
-    }
-
-    /** Removes the starts that the worker rejects, sent to an earlier incarnation or with a lower token. */
-    fun dropInvalidStarts(token: Long, incarnation: Long, isNewIncarnation: Boolean) {
-        if (isNewIncarnation) starts.removeIf { it.incarnation < incarnation }
-        starts.removeIf { it.token < token }
-    }
-
-    /** Whether a start of this attempt may still arrive. */
-    fun hasUnconfirmedStart(key: TaskKey, attempt: Long): Boolean =
-        starts.any { it.key == key && it.attempt == attempt }
-
-    /** Whether a start of any attempt of the job may still arrive. */
-    fun hasUnconfirmedStart(job: String): Boolean = starts.any { it.key.job == job }
 }
--- a/src/main/kotlin/glenspool/core/cluster/Orphans.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Orphans.kt
@@ -29,6 +29,10 @@
 
     private fun recordOrphan(machine: Machine, key: TaskKey) {
         val job = cluster.jobs[key.job]
+        context.log(isImportant = true) {
+            "orphan-found task=${key.job}/${key.task} machine=${machine.id} token=${machine.token} " +
+                "trusted=${machine.isTrusted} placed-on=${job?.placementOf(key.task)?.machine}"
+        }
         if (job != null) charge(job, machine, key) else unrecorded.getOrPut(key.job) { HashSet() }.add(machine.id)
     }
 
@@ -56,6 +60,7 @@
 
     /** Removes an orphan that is proved to be off the machine. */
     private fun remove(machine: Machine, key: TaskKey) {
+        context.log(isImportant = true) { "orphan-gone task=${key.job}/${key.task} machine=${machine.id}" }
         machine.workload.removeOrphan(key)
         forgetUnrecorded(machine, key.job)
         val job = cluster.jobs[key.job] ?: return
--- a/src/main/kotlin/glenspool/core/lifecycle/JobSupervisor.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/JobSupervisor.kt
@@ -6,6 +6,7 @@
 import glenspool.core.cluster.ClusterState
 import glenspool.core.cluster.CommandQueue
 import glenspool.core.cluster.Machine
+import glenspool.core.cluster.StartFencing
 import glenspool.core.model.JobKind
 import glenspool.core.model.StartTask
 import glenspool.core.model.StopTask
@@ -18,6 +19,7 @@
     private val context: SchedulingContext,
     private val cluster: ClusterState,
     private val commands: CommandQueue,
+    private val fencing: StartFencing,
 ) {
     private val now: Duration get() = context.now
 
@@ -55,7 +57,7 @@
         val isStopped = placement.stopCause != null && placement.stage == PlacementStage.STORED
         return isStopped &&
             !placement.wasStartSent &&
-            !machine.requests.hasUnconfirmedStart(placement.key, placement.attempt)
+            !fencing.mayStillStart(machine, placement.key, placement.attempt)
     }
 
     private fun retryStart(placement: Placement, machine: Machine) {
@@ -75,7 +77,7 @@
 
     private fun isStartUnanswered(placement: Placement, machine: Machine): Boolean {
         val sentAt = placement.startSentAt ?: return false
-        return now - sentAt > START_TIMEOUT && machine.requests.unconfirmedStarts.any { it.key == placement.key }
+        return now - sentAt > START_TIMEOUT && machine.requests.starts.hasUnanswered(placement.key)
     }
 
     private fun sendStart(placement: Placement, machine: Machine) =
--- a/src/main/kotlin/glenspool/core/placement/PlacementScheduler.kt
+++ b/src/main/kotlin/glenspool/core/placement/PlacementScheduler.kt
@@ -127,10 +127,10 @@
 private const val MAX_AVOIDED_MACHINES = 4
 
 /**
- * Whether the job avoids the machine, because it failed there or because a start of one of its tasks may still arrive
- * there late. In the second case, another attempt on this machine would only collide with the late one.
+ * Whether the job avoids the machine, because it failed there or because a start of one of its tasks is
+ * unanswered there. In the second case, another attempt on this machine would only collide with the late one.
  */
 internal fun hasReasonToAvoid(job: Job, machine: Machine): Boolean {
     val hasFailedThere = machine.id in job.machinesWithFailures && job.machinesWithFailures.size < MAX_AVOIDED_MACHINES
-    return hasFailedThere || machine.requests.hasUnconfirmedStart(job.spec.id)
+    return hasFailedThere || machine.requests.starts.hasUnanswered(job.spec.id)
 }
--- a/src/test/kotlin/glenspool/core/SchedulerTestBase.kt
+++ b/src/test/kotlin/glenspool/core/SchedulerTestBase.kt
@@ -37,6 +37,13 @@
     protected fun heartbeatReply(machine: String, vararg tasks: TaskStatus): List<Command> =
         receiveHeartbeat(heartbeat(machine, tasks.toList())).first
 
+    /** Advances the fencing token, so that a worker that shows it rejects all starts that were sent before. */
+    protected fun invalidateEarlierStarts() = step { fencingTokenAdvanced(TOKEN + 1) }
+
+    /** Like [heartbeatReply], for a worker that has learned the token of [invalidateEarlierStarts]. */
+    protected fun replyWithAdvancedToken(machine: String, vararg tasks: TaskStatus): List<Command> =
+        receiveHeartbeat(heartbeat(machine, tasks.toList(), token = TOKEN + 1)).first
+
     /** Delivers a heartbeat of the machine. Returns the resulting actions besides the reply. */
     protected fun heartbeatActions(machine: String, vararg tasks: TaskStatus): List<Action> =
         receiveHeartbeat(heartbeat(machine, tasks.toList())).second
--- a/src/test/kotlin/glenspool/simulation/ActionPerformer.kt
+++ b/src/test/kotlin/glenspool/simulation/ActionPerformer.kt
@@ -7,6 +7,7 @@
 import glenspool.core.LogMessage
 import glenspool.core.Probe
 import glenspool.core.ReadFinalStates
+import glenspool.core.ReportViolation
 import glenspool.core.Resign
 import glenspool.core.ScaleOut
 import glenspool.core.Scheduler
@@ -34,6 +35,7 @@
             is AdvanceFencingToken -> advanceFencingToken(scheduler)
             is ReadFinalStates -> readFinalStates(action, scheduler)
             is StoreImageLocations -> check(action.images.values.none { it.isEmpty() }) { "an image has no locations" }
+            is ReportViolation -> context.reportedViolations += "${context.now} ${action.rule} ${action.details}"
             is LogMessage -> check(action.text.isNotEmpty()) { "the text of a log message is empty" }
             is Resign -> leader.handleResignation(scheduler)
         }
--- a/src/test/kotlin/glenspool/simulation/ClusterSimulation.kt
+++ b/src/test/kotlin/glenspool/simulation/ClusterSimulation.kt
@@ -64,6 +64,9 @@
     /** Violations of rules, each with its time and the task or job concerned. */
     val violations: List<String> get() = context.violations
 
+    /** Violations that leaders have reported themselves, each with its time. */
+    val reportedViolations: List<String> get() = context.reportedViolations
+
     /** Orders as workers and the cloud received them. A test may clear the list. */
     val receivedOrders: MutableList<ReceivedOrder> get() = context.receivedOrders
 
--- a/src/test/kotlin/glenspool/simulation/SimulationContext.kt
+++ b/src/test/kotlin/glenspool/simulation/SimulationContext.kt
@@ -30,6 +30,9 @@
     /** Violations of rules, each with its time and the task or job concerned. */
     val violations = ArrayList<String>()
 
+    /** Violations that leaders have reported themselves. */
+    val reportedViolations = ArrayList<String>()
+
     /** Orders as workers and the cloud received them. */
     val receivedOrders = ArrayList<ReceivedOrder>()
 
