--- a/src/test/kotlin/glenspool/controller/CancellationExchangeTest.kt
+++ b/src/test/kotlin/glenspool/controller/CancellationExchangeTest.kt
@@ -145,4 +145,19 @@
         // An older version answers an unknown path with 404, so this controller does not learn what it confirms.
         assertEquals(Duration.ZERO, a.cancellations.completeUpTo())
     }
+
+    @Test
+    fun `a late copy of another controller's message adds its cancellations and advances nothing else`() {
+        val a = Controller("a", "b", PeerClient(emptyList()))
+        val b = Controller("b", "a", PeerClient(emptyList()))
+        a.cancellations.recordStoreRead(Duration.ZERO)
+        now = 5.seconds
+        b.cancellations.recordStoreRead(now)
+        b.exchange.storeChanged(storedCancellation("run-1"))
+        val message = b.cancellations.updateFor("a")
+        now = 60.seconds
+        repeat(2) { a.cancellations.reply("b", message) }
+        assertTrue(a.cancellations.contains("run-1"))
+        assertEquals(Duration.ZERO, a.cancellations.completeUpTo())
+    }
 }
--- a/src/test/kotlin/glenspool/faults/RepeatedStartsTest.kt
+++ b/src/test/kotlin/glenspool/faults/RepeatedStartsTest.kt
@@ -90,6 +90,23 @@
         simulation.finishAndVerify(seed)
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = [211, 212, 213, 214])
+    fun `copies of transactions, heartbeats and commands arrive while leaders change`(seed: Long) {
+        val faults =
+            FaultRates(
+                repeatedCommands = 0.5, repeatedTransactions = 0.7, duplicateHeartbeats = 0.3,
+                heartbeatsForNextTerm = 0.2, taskFailures = 0.1, messageLoss = 0.05, failovers = 0.05,
+            )
+        val simulation = simulation(seed, faults)
+        for (number in 0 until 30) {
+            simulation.submitTracked(array("a-$number", team = "t${number % 3}", estimatedDuration = 15.seconds))
+            simulation.runFor(3.seconds)
+            if (number % 4 == 3) simulation.cancelRunningJobs(1, hang = false)
+        }
+        simulation.finishAndVerify(seed)
+    }
+
     @Test
     fun `a late copy does not start a task on a machine that has lost its session and its token`() {
         val simulation = simulation(SEED, machines = 6)
--- a/src/test/kotlin/glenspool/simulation/FaultRates.kt
+++ b/src/test/kotlin/glenspool/simulation/FaultRates.kt
@@ -11,6 +11,8 @@
     val delayedCommands: Double = 0.0,
     /** Answered commands of which a copy arrives later, after milliseconds to several leases. */
     val repeatedCommands: Double = 0.0,
+    /** Transactions that were carried out and answered, of which a copy arrives within several leases. */
+    val repeatedTransactions: Double = 0.0,
     /** Machines that are lost with all of their tasks. */
     val machineLosses: Double = 0.0,
     /** Machines that are partitioned for a while. Their tasks continue to run. */
--- a/src/test/kotlin/glenspool/simulation/LeaderTransactions.kt
+++ b/src/test/kotlin/glenspool/simulation/LeaderTransactions.kt
@@ -62,6 +62,7 @@
     private fun executeAndRespond(transaction: Transaction, scheduler: Scheduler) =
         context.after(context.networkDelay()) {
             val failedKeys = commit(transaction)
+            if (failedKeys == null) planCopy(transaction)
             val revision = store.state.revision
             context.after(context.networkDelay()) {
                 if (failedKeys != null) leader.readChanges()
@@ -70,10 +71,24 @@
             }
         }
 
+    /** Lets a copy of the transaction arrive later. The store has to refuse it, since it would undo newer changes. */
+    private fun planCopy(transaction: Transaction) {
+        // No number is drawn without this fault, so that the runs of other seeds stay the same.
+        val rate = context.faults.repeatedTransactions
+        if (rate == 0.0 || !context.chance(rate)) return
+        context.after(context.config.lease * (context.random.nextDouble() * MAX_COPY_DELAY_LEASES)) {
+            if (commit(transaction) == null) context.recordViolation("transaction repeated ${transaction.conditions}")
+        }
+    }
+
     /** Returns the keys whose conditions failed, or null if the transaction was committed. */
     private fun commit(transaction: Transaction): List<String>? {
         val failedKeys = store.state.transact(transaction.conditions, transaction.puts, transaction.removes)
         if (failedKeys == null) jobStatusChecker.checkStored(transaction)
         return failedKeys
     }
+
+    private companion object {
+        const val MAX_COPY_DELAY_LEASES = 5.0
+    }
 }
--- a/src/test/kotlin/glenspool/simulation/TaskExecution.kt
+++ b/src/test/kotlin/glenspool/simulation/TaskExecution.kt
@@ -21,6 +21,8 @@
     var startCount = 0
         private set
 
+    private val machinesByAttempt = HashMap<TaskSlot, String>()
+
     /** The time of the first start of a task, by job. */
     val firstStartTimes = HashMap<String, Duration>()
 
@@ -59,12 +61,19 @@
         val requested = placed.fold(spec.resourceRequest) { sum, next -> sum + next }
         if (!requested.fitsIn(worker.type.capacity)) return rejected(command.attempt, ExitReason.INSUFFICIENT_RESOURCES)
         startChecker.check(command.key, spec, worker)
+        checkMachineOf(TaskSlot(command.key, command.attempt), worker)
         val fetchTime = fetchTime(worker, spec)
         startCount++
         firstStartTimes.putIfAbsent(command.key.job, context.now)
         return WorkerTask(command.attempt, TaskState.FETCHING, context.now + fetchTime)
     }
 
+    /** An attempt number belongs to one machine, so that a heartbeat about it can't be about a later stay elsewhere. */
+    private fun checkMachineOf(slot: TaskSlot, worker: SimulatedWorker) {
+        val machine = machinesByAttempt.getOrPut(slot) { worker.id }
+        if (machine != worker.id) context.recordViolation("attempt $slot on $machine and ${worker.id}")
+    }
+
     private fun rejected(attempt: Long, reason: ExitReason) = WorkerTask(attempt, TaskState.EXITED, context.now, reason)
 
     private fun fetchTime(worker: SimulatedWorker, spec: JobSpec): Duration =
--- a/src/test/kotlin/glenspool/soak/SoakStore.kt
+++ b/src/test/kotlin/glenspool/soak/SoakStore.kt
@@ -3,6 +3,7 @@
 import glenspool.http.HttpListener
 import glenspool.http.cborResponse
 import glenspool.simulation.InMemoryStore
+import glenspool.state.Keys
 import glenspool.wire.Cbor
 import org.http4k.core.Body
 import org.http4k.core.Method
@@ -80,7 +81,7 @@
             return cborResponse(Status.BAD_REQUEST, mapOf("error" to "too large"))
         }
         val repeatable = request.body(Body(ByteBuffer.wrap(bytes)))
-        if (random.nextDouble() >= lostShare) return store.serve(repeatable)
+        if (random.nextDouble() >= lostShare) return store.serve(repeatable).also { planCopy(it, bytes, request) }
         if (random.nextBoolean()) {
             store.serve(repeatable)
         } else {
@@ -92,6 +93,22 @@
         return unavailable()
     }
 
+    /** Lets a copy of a transaction that was carried out arrive later; it must not change anything but hints. */
+    private fun planCopy(answer: Response, bytes: ByteArray, request: Request) {
+        if (answer.status.code != OK || random.nextDouble() >= COPIED_SHARE) return
+        val delay = random.nextLong(MAX_COPY_DELAY_MILLIS)
+        timer.schedule({ executeCopy(bytes, request) }, delay, TimeUnit.MILLISECONDS)
+    }
+
+    @Suppress("UNCHECKED_CAST")
+    private fun executeCopy(bytes: ByteArray, request: Request) {
+        if (isDown()) return
+        val changes = Cbor.decodeMap(bytes)["apply"] as? List<Map<String, Any?>> ?: return
+        val keys = changes.mapNotNull { it["set"] as? String }.filter { !it.startsWith(Keys.IMAGES) }
+        val isExecuted = store.serve(request.body(Body(ByteBuffer.wrap(bytes)))).status.code == OK
+        if (isExecuted && keys.isNotEmpty()) history.violation("repeated_transaction", "a copy changed $keys")
+    }
+
     private fun newLease(request: Request): Response {
         val life = (Cbor.decodeMap(request.body.stream.readAllBytes())["life_ms"] as Long).milliseconds
         val lease = synchronized(store) { store.newLease() }
@@ -136,6 +153,8 @@
         const val MAX_TRANSACTION_BYTES = 64 * 1024
         const val MIN_LATE_MILLIS = 2_000L
         const val MAX_LATE_MILLIS = 12_000L
+        const val COPIED_SHARE = 0.2
+        const val MAX_COPY_DELAY_MILLIS = 40_000L
         val LOST_ANSWER_DELAY = 3.seconds
     }
 }
