Soak: parallel runs no longer share a port

Its bobbin-1 ended at the start with BindException, Address already in use: the ports of a run are drawn at random and opened only when the controllers start, so another lane could draw the same one in between. LoopbackPorts no longer returns a port twice within a process.

--- a/src/test/kotlin/glenspool/simulation/LoopbackPorts.kt
+++ b/src/test/kotlin/glenspool/simulation/LoopbackPorts.kt
@@ -2,6 +2,7 @@
 
 import java.net.BindException
 import java.net.ServerSocket
+import java.util.concurrent.ConcurrentHashMap
 
 /** Finds loopback ports that are free and remain free until they are used. */
 internal object LoopbackPorts {
@@ -11,8 +12,11 @@
      */
     private val range = 20_000..30_000
 
+    /** Ports that were returned before; their users may not have opened them yet. */
+    private val returned = ConcurrentHashMap.newKeySet<Int>()
+
     fun free(count: Int): List<Int> =
-        generateSequence { range.random() }.filter(::isFree).distinct().take(count).toList()
+        generateSequence { range.random() }.filter { returned.add(it) && isFree(it) }.take(count).toList()
 
     private fun isFree(port: Int): Boolean =
         try {
