--- a/src/test/kotlin/glenspool/api/DeferredHeartbeatsTest.kt
+++ b/src/test/kotlin/glenspool/api/DeferredHeartbeatsTest.kt
@@ -1,5 +1,6 @@
 package glenspool.api
 
+import glenspool.simulation.runUntilInterrupted
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
@@ -20,15 +21,7 @@
     private var isReady = false
     private val heartbeats = DeferredHeartbeats({ now }) { isReady }
     private val answered = LinkedBlockingQueue<String>()
-    private val runner = thread(start = false) { runUntilInterrupted() }
-
-    private fun runUntilInterrupted() {
-        try {
-            heartbeats.run()
-        } catch (e: InterruptedException) {
-            Thread.currentThread().interrupt()
-        }
-    }
+    private val runner = thread(start = false) { runUntilInterrupted(heartbeats::run) }
 
     @AfterEach
     fun stop() {
--- a/src/test/kotlin/glenspool/api/WorkerApiTest.kt
+++ b/src/test/kotlin/glenspool/api/WorkerApiTest.kt
@@ -4,6 +4,7 @@
 import glenspool.config.SettingsReader
 import glenspool.config.SettingsTest
 import glenspool.simulation.FakeNodeState
+import glenspool.simulation.runUntilInterrupted
 import glenspool.wire.Cbor
 import org.http4k.core.Body
 import org.http4k.core.Method
@@ -27,7 +28,7 @@
     private var reply: WorkerCommands? = null
     private val api = WorkerApi(settings(), node) { _, answer -> answer(reply) }
     private val statuses = LinkedBlockingQueue<Int>()
-    private val deferredAnswers = thread(start = false) { answerDeferredHeartbeats() }
+    private val deferredAnswers = thread(start = false) { runUntilInterrupted(api::answerDeferredHeartbeats) }
 
     private fun settings(): Settings {
         val file = File.createTempFile("settings", ".toml")
@@ -39,14 +40,6 @@
         }
     }
 
-    private fun answerDeferredHeartbeats() {
-        try {
-            api.answerDeferredHeartbeats()
-        } catch (e: InterruptedException) {
-            Thread.currentThread().interrupt()
-        }
-    }
-
     @AfterEach
     fun stop() {
         deferredAnswers.interrupt()
--- a/src/test/kotlin/glenspool/controller/CancellationExchangeTest.kt
+++ b/src/test/kotlin/glenspool/controller/CancellationExchangeTest.kt
@@ -9,6 +9,7 @@
 import glenspool.peer.PeerServer
 import glenspool.peer.PeerStatus
 import glenspool.peer.RelayAnswer
+import glenspool.simulation.startInterruptible
 import glenspool.state.Keys
 import glenspool.wire.StoreWire
 import org.http4k.core.Response
@@ -22,7 +23,6 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
-import kotlin.concurrent.thread
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -54,14 +54,7 @@
     private fun storedCancellation(job: String) = listOf(StoreWire.Change(Keys.cancel(job), mapOf("at" to 0L), 7))
 
     private fun runExchange(exchange: CancellationExchange, member: Member) {
-        val thread =
-            thread(isDaemon = true) {
-                try {
-                    exchange.run(member)
-                } catch (e: InterruptedException) {
-                    Thread.currentThread().interrupt()
-                }
-            }
+        val thread = startInterruptible { exchange.run(member) }
         openResources.add(AutoCloseable { thread.interrupt() })
     }
 
--- a/src/test/kotlin/glenspool/controller/CancelledWorkAtSizeTest.kt
+++ b/src/test/kotlin/glenspool/controller/CancelledWorkAtSizeTest.kt
@@ -11,6 +11,8 @@
 import glenspool.simulation.InMemoryStore
 import glenspool.simulation.StandInCloud
 import glenspool.simulation.job
+import glenspool.simulation.startInterruptible
+import glenspool.simulation.startSyncThread
 import glenspool.state.KeyValueStoreClient
 import glenspool.state.Keys
 import glenspool.state.Put
@@ -22,7 +24,6 @@
 import java.net.InetSocketAddress
 import java.util.BitSet
 import java.util.concurrent.locks.LockSupport
-import kotlin.concurrent.thread
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -62,7 +63,7 @@
             StandInCloud(CLOUD_RPS, CLOUD_LATENCY).use { cloud ->
                 machines.forEach { cloud.add(it, it) }
                 val nodes = List(NODES) { enforcement(loadedCache(stateListener.port), cloud) }
-                val threads = nodes.map { node -> thread(isDaemon = true) { runUntilInterrupted(node::run) } }
+                val threads = nodes.map { node -> startInterruptible(node::run) }
                 while (sinceConfirmation() < CANCELLATION_DEADLINE && hanging.any(cloud::has)) {
                     LockSupport.parkNanos(POLL_INTERVAL.inWholeNanoseconds)
                 }
@@ -86,7 +87,7 @@
     private fun loadedCache(port: Int): StoreCache {
         val client = KeyValueStoreClient("127.0.0.1:$port", HttpClient(2.seconds))
         val cache = StoreCache(client, 1000.0) { _, _ -> }
-        val syncThread = thread(isDaemon = true) { runUntilInterrupted(cache::serveSyncs) }
+        val syncThread = startSyncThread(cache)
         assertTrue(cache.sync(10.seconds))
         syncThread.interrupt()
         return cache
@@ -105,14 +106,6 @@
         )
     }
 
-    private fun runUntilInterrupted(work: () -> Unit) {
-        try {
-            work()
-        } catch (e: InterruptedException) {
-            Thread.currentThread().interrupt()
-        }
-    }
-
     private companion object {
         const val NODES = 3
         const val MACHINES = 4_000
--- a/src/test/kotlin/glenspool/controller/LastLeaderAtSizeTest.kt
+++ b/src/test/kotlin/glenspool/controller/LastLeaderAtSizeTest.kt
@@ -8,11 +8,11 @@
 import glenspool.simulation.HangingWorkers
 import glenspool.simulation.LoopbackLeader
 import glenspool.simulation.StandInCloud
+import glenspool.simulation.startInterruptible
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.locks.LockSupport
-import kotlin.concurrent.thread
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -30,7 +30,7 @@
         StandInCloud(CLOUD_RPS, CLOUD_LATENCY).use { cloud ->
             hanging.forEach { cloud.add(it, it) }
             enforcement(leader, cloud).use { enforcement ->
-                val thread = thread(isDaemon = true) { runUntilInterrupted(enforcement::run) }
+                val thread = startInterruptible(enforcement::run)
                 reportUntilDeadline(enforcement, cloud)
                 thread.interrupt()
             }
@@ -69,14 +69,6 @@
         }
     }
 
-    private fun runUntilInterrupted(work: () -> Unit) {
-        try {
-            work()
-        } catch (e: InterruptedException) {
-            Thread.currentThread().interrupt()
-        }
-    }
-
     private companion object {
         const val NODES = 3
         const val HANGING_MACHINES = 500
--- a/src/test/kotlin/glenspool/simulation/LoopbackService.kt
+++ b/src/test/kotlin/glenspool/simulation/LoopbackService.kt
@@ -169,48 +169,19 @@
         stateListener.close()
     }
 
-    private fun settings(name: String): String {
-        val members =
-            names.filter { it != name }.joinToString("\n") {
-                "[[members]]\nhost_name = \"$it\"\nlocation = \"here\"\naddr = \"${internalAddresses[it]}\""
-            }
-        return """
-            host_name = "$name"
-            location = "here"
-            api_addr = "${apiAddresses[name]}"
-            internal_addr = "${internalAddresses[name]}"
-            @members
-            [outside]
-            cloud = "127.0.0.1:${fleet.cloudPort}"
-            state = "127.0.0.1:${stateListener.port}"
-            [settings]
-            initial_size = 4
-            zones = ["here"]
-            skew_ms = 5.0
-            [[settings.teams]]
-            name = "a"
-            cpus = 0.0
-            cpus_max = 0.0
-            gpus = 0.0
-            gpus_max = 0.0
-            [settings.workers]
-            report_s = ${heartbeatInterval.inWholeMilliseconds / 1000.0}
-            lease_s = ${lease.inWholeMilliseconds / 1000.0}
-            gang_wait_s = 10.0
-            gang_peer_s = 3.0
-            cancel_s = ${(lease * 3).inWholeMilliseconds / 1000.0}
-            [settings.state]
-            rps = 600.0
-            write_rps = 300.0
-            value_kb = 16.0
-            txn_ops = 24
-            [settings.cloud]
-            rps = 20.0
-            list_lag_s = 1.0
-            [settings.quota]
-            cores = 1.0
-            ram_mb = 300.0
-            fd_limit = ${900 + workers * 4}
-            """.trimIndent().replace("@members", members)
-    }
+    private fun settings(name: String): String =
+        LoopbackSettings(
+            node = name,
+            apiAddress = apiAddresses.getValue(name),
+            internalAddress = internalAddresses.getValue(name),
+            members = internalAddresses - name,
+            cloudAddress = "127.0.0.1:${fleet.cloudPort}",
+            storeAddress = "127.0.0.1:${stateListener.port}",
+            machines = 4,
+            heartbeatInterval = heartbeatInterval,
+            lease = lease,
+            cancellationDeadline = lease * 3,
+            cloudRps = 20.0,
+            sockets = 900 + workers * 4,
+        ).toToml()
 }
--- a/src/test/kotlin/glenspool/simulation/SimulatedWorker.kt
+++ b/src/test/kotlin/glenspool/simulation/SimulatedWorker.kt
@@ -87,6 +87,7 @@
         val statuses =
             tasks.map { (slot, task) -> TaskStatus(slot.key, task.attempt, task.state, task.exit, false) }
         val timeToPreemption = preemptionAt?.let { it - context.now }
+        if (statuses.size > MAX_REPORTED_TASKS) context.recordViolation("$id reports ${statuses.size} tasks")
         return Heartbeat(
             id, "addr-$id", type.name, zone, isSpot,
             incarnation, ++sequence, highestToken, timeToPreemption, statuses,
@@ -125,4 +126,9 @@
         sequence = 0
         highestToken = 0
     }
+
+    private companion object {
+        /** With 100 bytes for a task a report of 64 KiB is full. */
+        const val MAX_REPORTED_TASKS = 655
+    }
 }
--- a/src/test/kotlin/glenspool/soak/SoakCluster.kt
+++ b/src/test/kotlin/glenspool/soak/SoakCluster.kt
@@ -1,6 +1,7 @@
 package glenspool.soak
 
 import glenspool.simulation.LoopbackPorts
+import glenspool.simulation.LoopbackSettings
 import java.io.File
 
 /** Three controllers as processes, with the stand-ins for all outside systems. */
@@ -39,53 +40,23 @@
         store.close()
     }
 
-    private fun settingsOf(node: String): String {
-        val members =
-            SoakSettings.NODES.filter { it != node }.joinToString("\n") {
-                "[[members]]\nhost_name = \"$it\"\nlocation = \"here\"\naddr = \"${internalAddresses[it]}\""
-            }
-        return """
-            host_name = "$node"
-            location = "here"
-            api_addr = "${addresses[node]}"
-            internal_addr = "${internalAddresses[node]}"
-            @members
-            [outside]
-            cloud = "${fleet.cloudAddress}"
-            state = "${store.addressFor(node)}"
-            [settings]
-            initial_size = ${settings.workers}
-            zones = ["here"]
-            skew_ms = 5.0
-            [[settings.teams]]
-            name = "a"
-            cpus = 0.0
-            cpus_max = 0.0
-            gpus = 0.0
-            gpus_max = 0.0
-            [settings.workers]
-            report_s = ${settings.heartbeatInterval.inWholeMilliseconds / MILLIS}
-            lease_s = ${settings.lease.inWholeMilliseconds / MILLIS}
-            gang_wait_s = 10.0
-            gang_peer_s = 3.0
-            cancel_s = ${settings.cancellationDeadline.inWholeMilliseconds / MILLIS}
-            [settings.state]
-            rps = 600.0
-            write_rps = 300.0
-            value_kb = 16.0
-            txn_ops = 24
-            [settings.cloud]
-            rps = ${SoakSettings.CLOUD_RPS}
-            list_lag_s = 1.0
-            [settings.quota]
-            cores = 1.0
-            ram_mb = 300.0
-            fd_limit = ${BASE_SOCKETS + settings.workers * 2}
-            """.trimIndent().replace("@members", members)
-    }
+    private fun settingsOf(node: String): String =
+        LoopbackSettings(
+            node = node,
+            apiAddress = addresses.getValue(node),
+            internalAddress = internalAddresses.getValue(node),
+            members = internalAddresses - node,
+            cloudAddress = fleet.cloudAddress,
+            storeAddress = store.addressFor(node),
+            machines = settings.workers,
+            heartbeatInterval = settings.heartbeatInterval,
+            lease = settings.lease,
+            cancellationDeadline = settings.cancellationDeadline,
+            cloudRps = SoakSettings.CLOUD_RPS,
+            sockets = BASE_SOCKETS + settings.workers * 2,
+        ).toToml()
 
     private companion object {
-        const val MILLIS = 1000.0
         const val BASE_SOCKETS = 900
     }
 }
--- a/src/test/kotlin/glenspool/state/StoreCacheLoadTest.kt
+++ b/src/test/kotlin/glenspool/state/StoreCacheLoadTest.kt
@@ -3,13 +3,13 @@
 import glenspool.http.HttpClient
 import glenspool.http.HttpListener
 import glenspool.http.cborResponse
+import glenspool.simulation.startSyncThread
 import glenspool.wire.Fields
 import org.http4k.core.Status
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.net.InetSocketAddress
-import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.seconds
 
 /** Tests a cache that is loaded page by page while keys in the store change. */
@@ -41,7 +41,7 @@
         }).use { listener ->
             val client = KeyValueStoreClient("127.0.0.1:${listener.port}", HttpClient(2.seconds))
             val cache = StoreCache(client, 1000.0) { _, _ -> }
-            val syncThread = thread(isDaemon = true) { runUntilInterrupted { cache.serveSyncs() } }
+            val syncThread = startSyncThread(cache)
 
             repeat(2) { assertTrue(cache.sync(5.seconds)) }
 
@@ -50,14 +50,6 @@
         }
     }
 
-    private fun runUntilInterrupted(work: () -> Unit) {
-        try {
-            work()
-        } catch (e: InterruptedException) {
-            Thread.currentThread().interrupt()
-        }
-    }
-
     @Test
     fun `the active level sorts after all keys whose form may depend on it`() {
         val otherKeys =
