Repeated starts: calls that also stop a task, machines that hang or are cut off for a moment

A call that starts one task and stops another arises when a delayed command keeps others back; the test asserts that it met one.

--- a/src/test/kotlin/glenspool/faults/RepeatedStartsTest.kt
+++ b/src/test/kotlin/glenspool/faults/RepeatedStartsTest.kt
@@ -5,6 +5,7 @@
 import glenspool.core.model.Priority
 import glenspool.simulation.ClusterSimulation
 import glenspool.simulation.FaultRates
+import glenspool.simulation.MachineFault
 import glenspool.simulation.job
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNotNull
@@ -29,6 +30,8 @@
         LEADER_CHANGES_WITHIN_A_SECOND({ it.changeLeader(300.milliseconds) }),
         NOBODY_LEADS({ it.changeLeader(20.seconds) }),
         STORE_OUT({ it.startStoreOutage(20.seconds) }),
+        MACHINES_HANG_FOR_A_MOMENT({ it.injectFault(MachineFault.HANG, 1.0, 800.milliseconds) }),
+        MACHINES_CUT_FOR_A_MOMENT({ it.injectFault(MachineFault.CUT, 1.0, 800.milliseconds) }),
         LEASES_EXPIRE({ simulation -> simulation.machineNames.forEach(simulation::expireLease) }),
     }
 
@@ -90,6 +93,20 @@
         simulation.finishAndVerify(seed)
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = [221, 222, 223, 224])
+    fun `copies of commands that start one task and stop another arrive while jobs are cancelled`(seed: Long) {
+        // While a delayed command has no answer, further ones for the same machine are collected.
+        val simulation = simulation(seed, FaultRates(repeatedCommands = 0.8, delayedCommands = 0.3), machines = 3)
+        for (number in 0 until 40) {
+            simulation.submitTracked(array("a-$number", tasks = 2, estimatedDuration = 12.seconds))
+            simulation.runFor(1.5.seconds)
+            simulation.cancelRunningJobs(1, hang = false)
+        }
+        simulation.finishAndVerify(seed)
+        assertTrue(simulation.hasExecutedStartAndStopAtOnce())
+    }
+
     @ParameterizedTest
     @ValueSource(longs = [211, 212, 213, 214])
     fun `copies of transactions, heartbeats and commands arrive while leaders change`(seed: Long) {
--- a/src/test/kotlin/glenspool/simulation/ClusterSimulation.kt
+++ b/src/test/kotlin/glenspool/simulation/ClusterSimulation.kt
@@ -181,6 +181,9 @@
     /** Whether a worker has executed a request with several commands. */
     fun hasExecutedSeveralCommandsAtOnce(): Boolean = requests.hasExecutedSeveralCommandsAtOnce()
 
+    /** Whether a worker has executed a request that starts one task and stops another. */
+    fun hasExecutedStartAndStopAtOnce(): Boolean = requests.hasExecutedStartAndStopAtOnce()
+
     /** Lets the machine's lease expire, which ends all of its tasks. */
     fun expireLease(machine: String) = fleet.getValue(machine).expireLease()
 
--- a/src/test/kotlin/glenspool/simulation/WorkerRequests.kt
+++ b/src/test/kotlin/glenspool/simulation/WorkerRequests.kt
@@ -5,6 +5,7 @@
 import glenspool.core.Scheduler
 import glenspool.core.SendCommands
 import glenspool.core.model.Heartbeat
+import glenspool.core.model.StopTask
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -114,6 +115,13 @@
     /** Whether a worker has executed a request with several commands. */
     fun hasExecutedSeveralCommandsAtOnce(): Boolean = executedRequests.any { it.request.commands.size > 1 }
 
+    /** Whether a worker has executed a request that starts one task and stops another. */
+    fun hasExecutedStartAndStopAtOnce(): Boolean =
+        executedRequests.any { executed ->
+            executed.request.starts.isNotEmpty() &&
+                executed.request.commands.any { it is StopTask }
+        }
+
     /** Whether the worker is running and its number of restarts is still [restarts]. */
     private fun isSameProcess(worker: SimulatedWorker, restarts: Int): Boolean {
         val isRunning = !worker.isLost && !worker.isHanging
