--- a/src/main/kotlin/glenspool/core/cluster/StartFencing.kt
+++ b/src/main/kotlin/glenspool/core/cluster/StartFencing.kt
@@ -15,8 +15,8 @@
  * execute no start of the attempt any more, see [SentStarts]. Until then the worker keeps the exited attempt, which
  * makes it ignore every copy of the start, and a missing task keeps its placement.
  *
- * Starts of earlier leaders need no record. Their tokens are lower than that of this leader's election, and nothing is
- * concluded from a heartbeat that shows a lower token than that.
+ * Starts of earlier leaders need no record. Their tokens are lower than that of this leader's election, and a heartbeat
+ * that shows a lower token than that neither proves an absence nor leads to a permission to forget.
  */
 class StartFencing(private val context: SchedulingContext) {
     private var exitedAttemptKeptSince: Duration? = null
