--- a/review/standin-2/Controllers.java
+++ b/review/standin-2/Controllers.java
@@ -1,4 +1,5 @@
 import java.io.File;
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -7,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** The three controllers, as processes that the command of the deploy file starts. */
@@ -23,7 +25,7 @@
         this.record = record;
         folder = Files.createTempDirectory("glenspool-case-");
         Map<String, String> internal = new LinkedHashMap<>();
-        for (int i = 0; i < 6; i++) held.add(new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")));
+        while (held.size() < 6) hold();
         for (int i = 0; i < 3; i++) {
             api.put(Settings.NODES.get(i), "127.0.0.1:" + held.get(i).getLocalPort());
             internal.put(Settings.NODES.get(i), "127.0.0.1:" + held.get(i + 3).getLocalPort());
@@ -39,6 +41,15 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
+    /** Takes a free port below those that the system gives to outgoing connections. */
+    private void hold() {
+        try {
+            held.add(new ServerSocket(ThreadLocalRandom.current().nextInt(12_000, 32_000), 1, InetAddress.getByName("127.0.0.1")));
+        } catch (IOException e) {
+            // The port is in use; another one is tried.
+        }
+    }
+
     private static List<String> runLine() throws Exception {
         for (String line : Files.readAllLines(Path.of("deploy/service.toml"))) {
             if (line.startsWith("run =")) {
