--- a/review/standin-2/Fleet.java
+++ b/review/standin-2/Fleet.java
@@ -35,6 +35,9 @@
     volatile double bootSeconds = 2;
     /** By which share of its run time a task may end earlier or later, together. */
     volatile double runSpread;
+    /** Whether the next machine that runs a task is faulty: every task there fails after two seconds. */
+    volatile boolean isFirstMachineFaulty;
+    private String faultyMachine = "";
     private double cloudTokens;
     private long cloudAt = System.nanoTime();
     private int created;
@@ -151,6 +154,11 @@
         return Http.reply(200, Map.of("spindles", rows, "has_next", more));
     }
 
+    synchronized boolean isFaulty(String machine) {
+        if (isFirstMachineFaulty && faultyMachine.isEmpty()) faultyMachine = machine;
+        return faultyMachine.equals(machine);
+    }
+
     void hasImage(String task, String machine, long attempt) {
         synchronized (onMachines) {
             List<String> on = onMachines.computeIfAbsent(task, t -> new ArrayList<>());
--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -30,7 +30,7 @@
 
     final String name;
     final double createdAt;
-    private final double upAt;
+    private volatile double upAt;
     private final Fleet fleet;
     private final Settings settings;
     private final Http.Server server;
@@ -45,6 +45,8 @@
     private boolean hasChanged;
     private String node;
     private volatile boolean isDeleted;
+    /** The direct commands that were carried out. */
+    final List<Map<String, Object>> carriedOut = new java.util.concurrent.CopyOnWriteArrayList<>();
 
     Worker(Fleet fleet, String name, double createdAt, double bootSeconds) throws Exception {
         this.fleet = fleet;
@@ -188,6 +190,10 @@
             double share = 1 + fleet.runSpread * (fleet.random.nextDouble() - 0.5);
             t.endAt = now + fleet.runSeconds.getOrDefault(t.job(), 1e9) * share;
             t.endCause = "done";
+            if (fleet.isFaulty(name)) {
+                t.endAt = now + 2;
+                t.endCause = "error";
+            }
         }
     }
 
@@ -215,6 +221,29 @@
         tasks.clear();
     }
 
+    /** The machine stops with all that is on it, and is back after a moment, with a worker that begins anew. */
+    synchronized void restart(double seconds) {
+        endAll();
+        images.clear();
+        session = 1;
+        sequence = 0;
+        token = 0;
+        upAt = now() + seconds;
+        leaseFrom = upAt;
+        nextReport = upAt;
+        hasChanged = false;
+    }
+
+    /** A copy of a request that this worker has carried out arrives. Returns the status with which it is answered, or 0. */
+    int repeat(Map<String, Object> body) {
+        Http.Response answer = serve(new Http.Request("POST", "/do", Cbor.encode(body)));
+        return answer == null ? 0 : answer.status;
+    }
+
+    boolean isUp() {
+        return now() >= upAt;
+    }
+
     private synchronized Http.Response serve(Http.Request r) {
         if (isDeleted || now() < upAt) return null;
         step();
@@ -231,6 +260,7 @@
         long baton = ((Number) body.get("baton")).longValue();
         if (baton < token || ((Number) body.get("shift")).longValue() != session) return Http.reply(409, status());
         execute(body);
+        carriedOut.add(body);
         return Http.reply(200, status());
     }
 
