--- a/review/standin-2/MovedPlacement.java
+++ b/review/standin-2/MovedPlacement.java
@@ -10,10 +10,10 @@
     private static final String JOB = "run-000001";
     private static final int FIRST = 17;
     private static final int SECOND = 16;
-    private static final int THIRD = 6;
-    private static final int PARTLY = 4;
-    private static final int MACHINES = PARTLY + FIRST + SECOND + THIRD;
-    private static final int THREADS = PARTLY * 26 + (FIRST + SECOND) * 160 - 80;
+    private static final int THIRD = 5;
+    private static final int PARTLY = 5;
+    private static final int MACHINES = PARTLY + FIRST + SECOND + 2 * THIRD;
+    private static final int THREADS = PARTLY * 3 + (FIRST + SECOND) * 160 - 80;
     private final CountDownLatch isMissing = new CountDownLatch(1);
     private volatile double missingAt;
     private volatile double longest;
@@ -90,7 +90,7 @@
     int play() throws Exception {
         begin(MACHINES);
         // Urgent jobs fill the machines; the large array gets what is left, and the rest as two of them end.
-        double[][] urgent = {{FIRST, 48.0, 10}, {SECOND, 48.0, 24}, {THIRD, 48.0, 27.5}, {PARTLY, 40.0, 1e9}};
+        double[][] urgent = {{FIRST, 48.0, 10}, {SECOND, 48.0, 24}, {THIRD, 48.0, 27.2}, {THIRD, 48.0, 27.9}, {PARTLY, 47.1, 1e9}};
         for (int i = 0; i < urgent.length; i++) {
             Map<String, Object> other = Users.job("run-00000" + (i + 2), "clip", settings.team, "batch", "urgent", (int) urgent[i][0], urgent[i][1], 0.0, 4.0);
             require(users.submit(other, urgent[i][2]), "an urgent job was not accepted");
@@ -100,7 +100,7 @@
         job.put("expected_s", 600.0);
         require(users.submit(job, 1e9), "the array was not accepted");
         double until = record.now() + 20;
-        while (record.now() < until && fleet.running(JOB).size() < PARTLY * 26 + FIRST * 160) Thread.sleep(50);
+        while (record.now() < until && fleet.running(JOB).size() < PARTLY * 3 + FIRST * 160) Thread.sleep(50);
         record.add("running " + fleet.running(JOB).size());
         synchronized (store) {
             store.listener = changes -> {
