A record that moves placements into a part is stored together with that part

Cause: shrinkRecord made room in a record by moving placements into any part that had changed, but a transaction holds only some of the changed parts. The record without the placements was stored, the part followed later, and for that time no stored value placed the tasks. A transaction without an answer could have the same effect, and two chunks of done bits could take all the room that the parts need. Whether a placement was stored was inferred from its present part and a counter, not from the content of the transaction.

Fix: a part that receives placements from the record is in every transaction that stores the record, until one is confirmed. Each transaction by itself then keeps a place for every task that may run, whichever is the last. A start is sent only for a placement that the confirmed transaction contained. The stored form is unchanged.

--- a/src/main/kotlin/glenspool/core/lifecycle/Placement.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Placement.kt
@@ -33,10 +33,6 @@
     var runningSince: Duration? = null
         private set
 
-    /** The job's change that has to be stored before the start command may be sent, see [Job.addUrgentChange]. */
-    var requiredChange = 0L
-        private set
-
     /** When the start command was last sent; null if it was never sent or was certainly not executed. */
     var startSentAt: Duration? = null
         private set
@@ -62,11 +58,6 @@
     /** The part of the job's record in which the placement is stored, see [PlacementParts]. */
     var part = PlacementParts.RECORD
 
-    /** Requires [change] of the job to be stored before commands for this placement are sent. */
-    fun requireStoredChange(change: Long) {
-        requiredChange = change
-    }
-
     /** Marks the placement as stored by an earlier leader, which may have sent the start command. */
     fun markRestored(now: Duration) {
         stage = PlacementStage.STORED
--- a/src/main/kotlin/glenspool/core/lifecycle/PlacementParts.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/PlacementParts.kt
@@ -19,12 +19,21 @@
     private val dirty = LinkedHashMap<Int, Long>()
     private var changeCount = 0L
 
+    /**
+     * Parts that received placements from the record and are not known to be stored with them. The tasks of these
+     * placements may run, so a record without the placements may be stored only in one transaction with these parts.
+     */
+    private val moveTargets = LinkedHashSet<Int>()
+
     /** A lower bound of the bytes that remain in the record for placements. The record also has to list its parts. */
     private val remainingRecordBytes: Int
         get() = recordCapacity - inRecord.bytes - maxOf(0, parts.size - MAX_PARTS_IN_OVERHEAD) * PART_NUMBER_BYTES
 
     val dirtyCount: Int get() = dirty.size
 
+    /** The number of parts that every transaction has to contain which stores the record. */
+    val requiredCount: Int get() = moveTargets.size
+
     /** Returns the number of further placements that certainly fit. */
     fun remainingCapacity(maySplit: Boolean): Int {
         if (!maySplit) return remainingRecordBytes / BYTES_PER_PLACEMENT
@@ -59,23 +68,39 @@
     }
 
     /** Marks all parts as stored in their current form. */
-    fun markAllStored() = dirty.clear()
+    fun markAllStored() {
+        dirty.clear()
+        moveTargets.clear()
+    }
 
-    /** Moves placements out of a record that is too large. Not more than [maxDirtyParts] parts may become dirty. */
-    fun shrinkRecord(placements: Collection<Placement>, maxDirtyParts: Int) {
-        if (remainingRecordBytes >= 0) return
-        val used = HashSet<Int>(dirty.keys)
+    /**
+     * Moves placements out of a record that is too large. Not more than [maxParts] parts have to be stored together with
+     * the record after that, see [partsToStore].
+     */
+    fun shrinkRecord(placements: Collection<Placement>, maxParts: Int) {
         for (placement in placements) {
             if (remainingRecordBytes >= 0) return
             if (placement.part != RECORD) continue
-            val target = partFor(placement)
-            if (target == RECORD || target !in used && used.size >= maxDirtyParts) return
-            used.add(target)
+            val target = moveTargetFor(placement, maxParts) ?: return
+            moveTargets.add(target)
             remove(placement)
             put(placement, target)
         }
     }
 
+    /** The part to which the placement is moved from the record; null if there is none that may be used. */
+    private fun moveTargetFor(placement: Placement, maxParts: Int): Int? {
+        moveTargets.firstOrNull { hasSpaceFor(placement, parts[it]) }?.let { return it }
+        if (moveTargets.size >= maxParts) return null
+        // The part with the most space takes the most placements, so that few parts have to be stored at once.
+        val roomiest = parts.indices.minByOrNull { parts[it].bytes }
+        return when {
+            roomiest != null && hasSpaceFor(placement, parts[roomiest]) -> roomiest
+            parts.size < MAX_PARTS -> parts.size
+            else -> null
+        }
+    }
+
     /** Moves placements back into the record as far as it has space. Returns whether any was moved. */
     fun mergeIntoRecord(placements: Collection<Placement>): Boolean {
         var wasMoved = false
@@ -88,11 +113,22 @@
         return wasMoved
     }
 
-    /** Returns up to [limit] parts to be stored, each with the number of its last change. */
-    fun partsToStore(limit: Int): Map<Int, Long> = dirty.entries.take(limit).associate { it.key to it.value }
+    /**
+     * Returns up to [limit] parts to be stored with the record, each with the number of its last change. Parts that
+     * received placements from the record come first: until they are stored, no record may be stored without them.
+     */
+    fun partsToStore(limit: Int): Map<Int, Long> {
+        check(moveTargets.size <= limit) { "the parts $moveTargets have to be stored in one transaction of $limit" }
+        val others = dirty.keys.asSequence().filter { it !in moveTargets }
+        return (moveTargets.asSequence() + others).take(limit).associateWith { dirty.getValue(it) }
+    }
 
     /** Marks parts as stored up to the given change of each. */
-    fun markStored(changes: Map<Int, Long>) = changes.forEach { (number, change) -> dirty.remove(number, change) }
+    fun markStored(changes: Map<Int, Long>) {
+        changes.forEach { (number, change) -> dirty.remove(number, change) }
+        // Placements are moved only while no write is in flight, so the stored parts contain them.
+        moveTargets.removeAll(changes.keys)
+    }
 
     /** Marks the part as changed since it was stored. */
     fun markDirty(number: Int) {
@@ -102,7 +138,7 @@
     private fun partAt(number: Int) = if (number == RECORD) inRecord else parts[number]
 
     private fun partFor(placement: Placement): Int {
-        val found = parts.indexOfFirst { bytesOf(placement, it) <= partCapacity - it.bytes }
+        val found = parts.indexOfFirst { hasSpaceFor(placement, it) }
         return when {
             found >= 0 -> found
             parts.size < MAX_PARTS -> parts.size
@@ -110,6 +146,8 @@
         }
     }
 
+    private fun hasSpaceFor(placement: Placement, part: Part) = bytesOf(placement, part) <= partCapacity - part.bytes
+
     /** The size of a placement in [part]. A machine's name is written once, and two numbers for each of its tasks. */
     private fun bytesOf(placement: Placement, part: Part): Int {
         val numbers = placement.task.toString().length + placement.attempt.toString().length + NUMBERS_OVERHEAD_BYTES
--- a/src/main/kotlin/glenspool/core/lifecycle/RecordWriteScheduler.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/RecordWriteScheduler.kt
@@ -11,6 +11,7 @@
 import glenspool.core.cluster.CommandQueue
 import glenspool.core.model.Priority
 import glenspool.core.model.StartTask
+import glenspool.core.model.StoredPlacement
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -162,14 +163,17 @@
         job.parts.markStored(write.parts)
         job.markDoneStored(write)
         if (job.hasUnstoredChunksAfter(write)) job.addDeferredChange(now)
-        for (placement in job.placements.values.toList()) {
-            if (isStoredBy(write, placement)) placementStored(placement)
-        }
+        val planned = job.placements.values.filter { it.stage == PlacementStage.PLANNED }
+        if (planned.isEmpty()) return
+        val stored = storedPlacements(write)
+        planned.filter { it.toStored() in stored }.forEach(::placementStored)
     }
 
-    private fun isStoredBy(write: UpdateJobRecord, placement: Placement): Boolean {
-        if (placement.stage != PlacementStage.PLANNED || placement.requiredChange > write.lastChange) return false
-        return placement.part == PlacementParts.RECORD || placement.part in write.parts
+    /** The placements that the store holds after the write. Those of parts which the write left out are not among them. */
+    private fun storedPlacements(write: UpdateJobRecord): Set<StoredPlacement> {
+        val stored = HashSet(write.record.placements)
+        for (part in write.parts.keys) stored.addAll(write.record.placementParts[part].orEmpty())
+        return stored
     }
 
     private fun placementStored(placement: Placement) {
@@ -195,12 +199,15 @@
         return recordUpdate(job)
     }
 
-    /** Creates the update of a job's record. Parts that do not fit into one transaction follow in the next one. */
+    /**
+     * Creates the update of a job's record. Parts that do not fit into one transaction follow in the next one, except
+     * those without which the record must not be stored.
+     */
     private fun recordUpdate(job: Job): UpdateJobRecord {
-        val chunks = job.dirtyChunks().take(config.txnOps - 1)
-        val maxParts = config.txnOps - 1 - chunks.size
-        if (splitting.isAllowed) job.parts.shrinkRecord(job.placements.values, maxParts)
-        val parts = job.parts.partsToStore(maxParts)
+        val changesBesidesRecord = config.txnOps - 1
+        if (splitting.isAllowed) job.parts.shrinkRecord(job.placements.values, changesBesidesRecord)
+        val chunks = job.dirtyChunks().take(changesBesidesRecord - job.parts.requiredCount)
+        val parts = job.parts.partsToStore(changesBesidesRecord - chunks.size)
         return UpdateJobRecord(
             id = job.spec.id,
             version = job.version,
--- a/src/main/kotlin/glenspool/core/placement/PlacementScheduler.kt
+++ b/src/main/kotlin/glenspool/core/placement/PlacementScheduler.kt
@@ -90,7 +90,7 @@
 
     override fun place(job: Job, task: Int, machine: Machine, attempt: Long?) {
         val placement = Placement(job, task, attempt ?: job.newAttempt(), machine.id, now)
-        placement.requireStoredChange(job.addUrgentChange())
+        job.addUrgentChange()
         cluster.addPlacement(placement, machine, splitting.isAllowed)
         context.log {
             "place task=$placement class=${job.spec.jobClass} machine=${machine.id} " +
