An orphan whose job has ended no longer counts for its team once it is gone

What callers saw: jobs of a team waited in vain while machines had room, until another node led.

Cause: an orphan is charged to its team when it is found, and the charge was taken back only if the job was still known when the orphan was gone. A job can end before: its task is done on one machine while an orphan of it is on another. Then the charge stayed.

--- a/src/main/kotlin/glenspool/core/cluster/Orphans.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Orphans.kt
@@ -13,6 +13,12 @@
     /** Machines with tasks of unrecorded jobs, by job. */
     private val unrecorded = HashMap<String, MutableSet<String>>()
 
+    /** An orphan on a machine. */
+    private data class Orphan(val machine: String, val key: TaskKey)
+
+    /** The job to whose team each orphan is charged. The job may have ended since. */
+    private val charged = HashMap<Orphan, Job>()
+
     /**
      * Updates the machine's orphans to [shown], the tasks without a placement in its newest heartbeat, each with the
      * resources that it uses.
@@ -63,9 +69,10 @@
         context.log(isImportant = true) { "orphan-gone task=${key.job}/${key.task} machine=${machine.id}" }
         machine.workload.removeOrphan(key)
         forgetUnrecorded(machine, key.job)
-        val job = cluster.jobs[key.job] ?: return
+        val job = charged.remove(Orphan(machine.id, key)) ?: return
+        cluster.quotas.charge(job, -1)
         val machines = job.orphans[key] ?: return
-        if (machines.remove(machine.id)) cluster.quotas.charge(job, -1)
+        machines.remove(machine.id)
         if (machines.isEmpty()) job.orphans.remove(key)
         job.markDirty()
         context.requestRound()
@@ -79,6 +86,8 @@
     }
 
     private fun charge(job: Job, machine: Machine, key: TaskKey) {
-        if (job.orphans.getOrPut(key) { HashSet() }.add(machine.id)) cluster.quotas.charge(job, +1)
+        if (charged.putIfAbsent(Orphan(machine.id, key), job) != null) return
+        job.orphans.getOrPut(key) { HashSet() }.add(machine.id)
+        cluster.quotas.charge(job, +1)
     }
 }
--- a/src/test/kotlin/glenspool/core/OrphanedTasksTest.kt
+++ b/src/test/kotlin/glenspool/core/OrphanedTasksTest.kt
@@ -1,18 +1,23 @@
 package glenspool.core
 
 import glenspool.core.model.Command
+import glenspool.core.model.ExitReason
 import glenspool.core.model.Resources
 import glenspool.core.model.StopTask
 import glenspool.core.model.TaskKey
+import glenspool.core.model.Team
 import glenspool.simulation.bigType
+import glenspool.simulation.config
 import glenspool.simulation.job
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
+private val TEAM_WITH_FOUR_GPUS = listOf(Team("t0", 0.0, 0.0, null, 4.0))
+
 /** Tests the handling of tasks that run without a stored placement, such as those started by earlier leaders. */
-class OrphanedTasksTest : SchedulerTestBase() {
+class OrphanedTasksTest : SchedulerTestBase(config(TEAM_WITH_FOUR_GPUS)) {
     @Test
     fun `an orphan of an unknown job blocks its task when the job is submitted again`() {
         registerMachines(2)
@@ -38,4 +43,23 @@
         val commands = heartbeatReply("m1", runningTask("a", 0, 7))
         assertEquals(listOf<Command>(StopTask(TaskKey("a", 0), 7, Duration.ZERO, StopCause.ORPHANED)), commands)
     }
+
+    /** Guards against a team whose quota stays in use, and whose jobs then wait in vain, until another node leads. */
+    @Test
+    fun `an orphan whose job has ended no longer counts for its team once it is gone`() {
+        registerMachines(2)
+        val (machine, task) = placeAndRun(job("a")).entries.single()
+        val other = if (machine == "m1") "m2" else "m1"
+        submit(job("b"))
+        heartbeatReply(other, runningTask("a", 0, 7))
+        heartbeatReply(machine, task.exited(ExitReason.DONE))
+        repeat(3) {
+            advanceTime(1.seconds)
+            confirmTransaction()
+        }
+        assertEquals(setOf("b"), core.jobs.keys)
+        heartbeatReply(other)
+        heartbeatReply(machine)
+        assertEquals(4, core.remainingQuota(scheduledJob("b")) + scheduledJob("b").placements.size)
+    }
 }
