Workers that began anew are recognized, and what is not placed there is stopped at once

Its heartbeats look older than those known and were dropped unread, so the task was neither seen nor stopped.

Change: such a heartbeat is answered with stops of all attempts that are not placed there, and the worker is asked. A reply that is older than what was known when the request was sent proves that the worker began anew, which no copy of a heartbeat can imitate. It gets stops and an advanced token directly, and its machine is deleted. This narrows the window and does not close it: the copy is carried out, and the stop has to arrive before the image does.

--- a/src/main/kotlin/glenspool/controller/ActionExecutor.kt
+++ b/src/main/kotlin/glenspool/controller/ActionExecutor.kt
@@ -108,8 +108,8 @@
     }
 
     private fun probe(action: Probe) =
-        run(probePool, onFailure = { post(Event.ProbeEnded(action.machine, null, wasSent = false)) }) {
-            post(Event.ProbeEnded(action.machine, workers.probe(action.addr), wasSent = true))
+        run(probePool, onFailure = { post(Event.ProbeEnded(action, null, wasSent = false)) }) {
+            post(Event.ProbeEnded(action, workers.probe(action.addr), wasSent = true))
         }
 
     private fun scaleOut(action: ScaleOut, term: Term) =
--- a/src/main/kotlin/glenspool/controller/CoreLoop.kt
+++ b/src/main/kotlin/glenspool/controller/CoreLoop.kt
@@ -118,7 +118,7 @@
                 activeTermIf(event.term)?.step {
                     commandsEnded(event.sent.machine, event.sent, event.outcome, event.heartbeat)
                 }
-            is Event.ProbeEnded -> step { probeEnded(event.machine, event.heartbeat, event.wasSent) }
+            is Event.ProbeEnded -> step { probeEnded(event.probe, event.heartbeat, event.wasSent) }
             is Event.MachinesListed -> step { machinesListed(event.machines) }
             is Event.MachineTypesRead -> step { machineTypesRead(event.types) }
             is Event.ScaleOutEnded -> step { scaleOutEnded(event) }
--- a/src/main/kotlin/glenspool/controller/Event.kt
+++ b/src/main/kotlin/glenspool/controller/Event.kt
@@ -2,6 +2,7 @@
 
 import glenspool.cloud.ScaleOutOutcome
 import glenspool.core.CommandOutcome
+import glenspool.core.Probe
 import glenspool.core.ScaleOut
 import glenspool.core.SendCommands
 import glenspool.core.StoreOutcome
@@ -40,8 +41,8 @@
         val term: Term,
     ) : Event
 
-    /** A probe of a silent machine ended. [wasSent] is false if it was not attempted. */
-    data class ProbeEnded(val machine: String, val heartbeat: Heartbeat?, val wasSent: Boolean) : Event
+    /** A probe of a machine ended. [wasSent] is false if it was not attempted. */
+    data class ProbeEnded(val probe: Probe, val heartbeat: Heartbeat?, val wasSent: Boolean) : Event
 
     /** The cloud listed its machines. */
     data class MachinesListed(val machines: List<ListedMachine>) : Event
--- a/src/main/kotlin/glenspool/core/Actions.kt
+++ b/src/main/kotlin/glenspool/core/Actions.kt
@@ -3,6 +3,7 @@
 import glenspool.core.cluster.ImagesByMachine
 import glenspool.core.model.Command
 import glenspool.core.model.FinalState
+import glenspool.core.model.HeartbeatPosition
 import glenspool.core.model.JobRecord
 import glenspool.core.model.StartTask
 
@@ -20,8 +21,11 @@
     val starts: List<StartTask> get() = commands.filterIsInstance<StartTask>()
 }
 
-/** Requests the status of its tasks from a silent machine. */
-data class Probe(val machine: String, val addr: String) : Action
+/**
+ * Requests the status of its tasks from a machine. [sentAfter]: the position of its newest heartbeat at this time, which
+ * the reply of the same worker process exceeds.
+ */
+data class Probe(val machine: String, val addr: String, val sentAfter: HeartbeatPosition) : Action
 
 /** Rents machines. [request]: a unique name; [causes]: the number of machines by cause. */
 data class ScaleOut(
--- a/src/main/kotlin/glenspool/core/FencingCounts.kt
+++ b/src/main/kotlin/glenspool/core/FencingCounts.kt
@@ -11,6 +11,9 @@
     /** Workers keep exited attempts, of which copies of the starts may still arrive. */
     EXITED_ATTEMPTS,
 
+    /** A worker began anew and has forgotten the token, see [glenspool.core.cluster.RestartedWorkers]. */
+    RESTARTED_WORKER,
+
     /** As [EXITED_ATTEMPTS], and a worker's heartbeat becomes long. */
     LONG_REPORT,
     ;
@@ -31,6 +34,24 @@
     var tasksOnTwoMachines = 0L
         private set
 
+    /** How often a heartbeat was received that was not newer than those known. */
+    var outdatedHeartbeats = 0L
+        private set
+
+    /** How many workers were found to have begun anew within their incarnation. */
+    var restartedWorkers = 0L
+        private set
+
+    /** Counts a heartbeat that is not newer than those known. */
+    fun outdatedHeartbeat() {
+        outdatedHeartbeats++
+    }
+
+    /** Counts a worker that began anew. */
+    fun workerRestarted() {
+        restartedWorkers++
+    }
+
     /** Counts a withheld permission to forget. */
     fun forgetWithheld() {
         forgetsWithheld++
@@ -49,6 +70,7 @@
     /** The counts as text for one log line. */
     override fun toString(): String {
         val advanced = advances.entries.joinToString("") { (cause, count) -> " advances.${cause.label}=$count" }
-        return "forgets-withheld=$forgetsWithheld tasks-on-two-machines=$tasksOnTwoMachines$advanced"
+        return "forgets-withheld=$forgetsWithheld tasks-on-two-machines=$tasksOnTwoMachines " +
+            "outdated-heartbeats=$outdatedHeartbeats restarted-workers=$restartedWorkers$advanced"
     }
 }
--- a/src/main/kotlin/glenspool/core/FencingTokenAdvancer.kt
+++ b/src/main/kotlin/glenspool/core/FencingTokenAdvancer.kt
@@ -18,14 +18,23 @@
 
     /** Advances the token if there is a cause. */
     fun tick() {
-        if (advancingFor != null || context.now - advancedAt < context.config.lease / 2) return
-        val cause =
-            if (commands.hasStaleStart()) TokenAdvanceCause.UNANSWERED_START else fencing.tokenAdvanceCause()
-        if (cause == null) return
+        if (advancingFor != null) return
+        val cause = cause() ?: return
+        if (isTooEarly(cause)) return
         advancingFor = cause
         context.addAction(AdvanceFencingToken(cause))
     }
 
+    private fun cause(): TokenAdvanceCause? {
+        val own = fencing.tokenAdvanceCause()
+        if (own == TokenAdvanceCause.RESTARTED_WORKER) return own
+        return if (commands.hasStaleStart()) TokenAdvanceCause.UNANSWERED_START else own
+    }
+
+    /** Each advance makes every worker send one more heartbeat, but a restarted worker must not wait for its token. */
+    private fun isTooEarly(cause: TokenAdvanceCause): Boolean =
+        cause != TokenAdvanceCause.RESTARTED_WORKER && context.now - advancedAt < context.config.lease / 2
+
     /** An advance has ended; [newToken] is null if it failed. */
     fun advanceEnded(newToken: Long?) {
         val cause = advancingFor
--- a/src/main/kotlin/glenspool/core/OrderCause.kt
+++ b/src/main/kotlin/glenspool/core/OrderCause.kt
@@ -107,6 +107,9 @@
     /** No heartbeat was received from the machine for too long. */
     SILENT,
 
+    /** Its worker began anew and has forgotten which commands are outdated. */
+    RESTARTED,
+
     /** The machine is idle, and no work is expected to need it. */
     NOT_NEEDED,
     ;
--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -14,6 +14,7 @@
 import glenspool.core.cluster.MissingTaskHandler
 import glenspool.core.cluster.Orphans
 import glenspool.core.cluster.OverdueMachine
+import glenspool.core.cluster.RestartedWorkers
 import glenspool.core.cluster.StartFencing
 import glenspool.core.cluster.TypePerformance
 import glenspool.core.lifecycle.Job
@@ -62,6 +63,8 @@
         HeartbeatProcessor(context, cluster, orphans, imageLocations, performance, missingTasks, fencing)
     private val heartbeatReplyCommands = HeartbeatReplyCommands(context, cluster, fencing)
     private val deleter = MachineDeleter(context)
+    private val restartedWorkers =
+        RestartedWorkers(context, cluster, commands, heartbeatReplyCommands, deleter, fencing)
     private val cancelledWork = CancelledWorkDeadline(context, cluster)
     private val failureDetector =
         FailureDetector(context, cluster, commands, overload, deleter, cancelledWork)
@@ -118,6 +121,7 @@
         failureDetector.tick()
         jobSupervisor.tick()
         tokenAdvancer.tick()
+        restartedWorkers.tick()
         autoscaler.tick()
         dependencies.requestFinalStates()
         imageLocations.storeChanges()
@@ -177,10 +181,16 @@
 
     /** A worker sent a periodic heartbeat. Returns the commands for the answer. */
     fun heartbeatReceived(heartbeat: Heartbeat): List<Command> {
-        val machine = heartbeats.process(heartbeat, HeartbeatSource.WORKER) ?: return emptyList()
+        val machine =
+            heartbeats.process(heartbeat, HeartbeatSource.WORKER) ?: return outdatedHeartbeatReceived(heartbeat)
         return if (machine.isTrusted) heartbeatReplyCommands.commandsFor(machine) else emptyList()
     }
 
+    private fun outdatedHeartbeatReceived(heartbeat: Heartbeat): List<Command> {
+        val machine = machines[heartbeat.machine] ?: return emptyList()
+        return restartedWorkers.outdatedHeartbeatReceived(machine, heartbeat)
+    }
+
     /** A request with commands has ended. [heartbeat]: the worker's answer, if there was one. */
     fun commandsEnded(machine: String, request: SendCommands, outcome: CommandOutcome, heartbeat: Heartbeat?) {
         val known = machines[machine] ?: return
@@ -189,13 +199,14 @@
     }
 
     /** A probe has ended. [wasSent]: false if the probe was never sent, which says nothing about the machine. */
-    fun probeEnded(machine: String, heartbeat: Heartbeat?, wasSent: Boolean = true) {
-        val reachability = machines[machine]?.reachability
-        if (heartbeat == null || heartbeat.machine != machine) {
-            if (wasSent && !overload.isOverloaded) reachability?.recordNoResponse(now)
+    fun probeEnded(probe: Probe, heartbeat: Heartbeat?, wasSent: Boolean = true) {
+        val machine = machines[probe.machine]
+        if (heartbeat == null || heartbeat.machine != probe.machine) {
+            if (wasSent && !overload.isOverloaded) machine?.reachability?.recordNoResponse(now)
             return
         }
-        reachability?.recordReachable(now)
+        machine?.reachability?.recordReachable(now)
+        if (machine != null && restartedWorkers.probeAnswered(machine, probe, heartbeat)) return
         val processed = heartbeats.process(heartbeat, HeartbeatSource.REPLY) ?: return
         // A worker that sends its heartbeats to another node receives this leader's token in this request.
         val isIdle = !processed.requests.isInFlight && !processed.isDeleting
--- a/src/main/kotlin/glenspool/core/WarmUpFleet.kt
+++ b/src/main/kotlin/glenspool/core/WarmUpFleet.kt
@@ -175,7 +175,7 @@
             }
             is ScaleOut -> ({ scaleOutRefused(action) })
             is DeleteMachines -> ({ deletionEnded(action.machines, false) })
-            is Probe -> ({ probeEnded(action.machine, null, false) })
+            is Probe -> ({ probeEnded(action, null, false) })
             is ReadFinalStates -> ({ finalStatesRead(action.jobs, emptyMap()) })
             is AdvanceFencingToken -> ({ fencingTokenAdvanced(token + 1) })
             is Resign, is StoreImageLocations, is ReportViolation, is LogMessage -> null
--- a/src/main/kotlin/glenspool/core/cluster/CommandQueue.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CommandQueue.kt
@@ -134,10 +134,10 @@
     }
 
     /** Sends commands immediately; a request without commands passes the leader's token to the worker. */
-    fun send(machine: Machine, commands: List<Command>) {
+    fun send(machine: Machine, commands: List<Command>, incarnation: Long = machine.incarnation) {
         machine.requests.requestSent(context.now)
         context.countOrders(commands)
-        context.addAction(SendCommands(machine.id, machine.addr, context.token, machine.incarnation, commands))
+        context.addAction(SendCommands(machine.id, machine.addr, context.token, incarnation, commands))
     }
 
     /** Applies the outcome of a request to the machine. */
--- a/src/main/kotlin/glenspool/core/cluster/FailureDetector.kt
+++ b/src/main/kotlin/glenspool/core/cluster/FailureDetector.kt
@@ -142,7 +142,7 @@
     private fun probe(machine: Machine) {
         if (remainingProbes-- <= 0) return
         machine.requests.delayProbesUntil(now + probeInterval)
-        context.addAction(Probe(machine.id, machine.addr))
+        context.addAction(Probe(machine.id, machine.addr, machine.position))
     }
 
     /**
--- a/src/main/kotlin/glenspool/core/cluster/HeartbeatReplyCommands.kt
+++ b/src/main/kotlin/glenspool/core/cluster/HeartbeatReplyCommands.kt
@@ -9,6 +9,7 @@
 import glenspool.core.model.Command
 import glenspool.core.model.ExitReason
 import glenspool.core.model.ForgetTask
+import glenspool.core.model.Heartbeat
 import glenspool.core.model.JobKind
 import glenspool.core.model.StopTask
 import glenspool.core.model.TaskKey
@@ -33,6 +34,15 @@
         return commands
     }
 
+    /**
+     * The stops of the tasks that this outdated or fresh heartbeat shows on the machine, and that are not placed there
+     * with their attempt. No such attempt may run there, however old the heartbeat is.
+     */
+    fun stopsOfMisplacedTasks(machine: Machine, heartbeat: Heartbeat): List<StopTask> =
+        heartbeat.tasks
+            .filter { it.state != TaskState.EXITED && machine.placements[it.key]?.attempt != it.attempt }
+            .mapNotNull { stopOrphan(machine, cluster.jobs[it.key.job], it) }
+
     private fun commandFor(machine: Machine, status: TaskStatus): Command? {
         val job = cluster.jobs[status.key.job]
         val placement = machine.placements[status.key]?.takeIf { it.attempt == status.attempt }
--- a/src/main/kotlin/glenspool/core/cluster/Machine.kt
+++ b/src/main/kotlin/glenspool/core/cluster/Machine.kt
@@ -5,6 +5,7 @@
 import glenspool.core.lifecycle.Job
 import glenspool.core.lifecycle.Placement
 import glenspool.core.model.Heartbeat
+import glenspool.core.model.HeartbeatPosition
 import glenspool.core.model.ListedMachine
 import glenspool.core.model.MachineStage
 import glenspool.core.model.MachineType
@@ -99,10 +100,11 @@
     private var reservedFor: Job? = null
     private var reservedUntil: Duration = Duration.ZERO
 
+    /** The position of the newest heartbeat. */
+    val position: HeartbeatPosition get() = HeartbeatPosition(incarnation, sequence)
+
     /** Whether the heartbeat is newer than all earlier ones; a duplicate is not. */
-    fun isNewer(heartbeat: Heartbeat): Boolean =
-        heartbeat.incarnation > incarnation ||
-            (heartbeat.incarnation == incarnation && heartbeat.sequence > sequence)
+    fun isNewer(heartbeat: Heartbeat): Boolean = heartbeat.position > position
 
     /** Marks it as booted, since a stored placement names it and it must therefore have been up once. */
     fun assumeBooted() {
--- a/src/main/kotlin/glenspool/core/cluster/MachineRequests.kt
+++ b/src/main/kotlin/glenspool/core/cluster/MachineRequests.kt
@@ -33,6 +33,9 @@
     var nextProbeAt: Duration = Duration.ZERO
         private set
 
+    /** When it was last asked whether its worker began anew, see [RestartedWorkers]; null if it never was. */
+    var restartProbedAt: Duration? = null
+
     /** Queues a command for the next request. */
     fun add(command: Command) {
         pending.add(command)
--- a/src/main/kotlin/glenspool/core/cluster/StartFencing.kt
+++ b/src/main/kotlin/glenspool/core/cluster/StartFencing.kt
@@ -22,6 +22,7 @@
     private var exitedAttemptKeptSince: Duration? = null
     private var isReportLong = false
     private var isTaskMissing = false
+    private var hasWorkerRestarted = false
 
     /** Whether the worker may forget this exited attempt. */
     fun mayForget(machine: Machine, status: TaskStatus): Boolean {
@@ -52,10 +53,16 @@
 
     private fun needsHigherToken(start: SentStart) = start.token >= context.token
 
+    /** A worker that began anew has to learn a token that no earlier start has. */
+    fun workerRestarted() {
+        hasWorkerRestarted = true
+    }
+
     /** Why workers have to learn a higher token now; null if they need not. */
     fun tokenAdvanceCause(): TokenAdvanceCause? {
         val keptSince = exitedAttemptKeptSince
         return when {
+            hasWorkerRestarted -> TokenAdvanceCause.RESTARTED_WORKER
             isTaskMissing -> TokenAdvanceCause.MISSING_TASK
             isReportLong -> TokenAdvanceCause.LONG_REPORT
             keptSince != null && context.now - keptSince > MAX_KEEPING_TIME -> TokenAdvanceCause.EXITED_ATTEMPTS
@@ -68,6 +75,7 @@
         exitedAttemptKeptSince = null
         isReportLong = false
         isTaskMissing = false
+        hasWorkerRestarted = false
     }
 
     private companion object {
--- a/src/main/kotlin/glenspool/core/model/Heartbeat.kt
+++ b/src/main/kotlin/glenspool/core/model/Heartbeat.kt
@@ -36,6 +36,12 @@
     val checkpointed: Boolean,
 )
 
+/** Orders the messages of one worker process: the one with the higher [incarnation], then [sequence], is the newer one. */
+data class HeartbeatPosition(val incarnation: Long, val sequence: Long) : Comparable<HeartbeatPosition> {
+    override fun compareTo(other: HeartbeatPosition): Int =
+        compareValuesBy(this, other, HeartbeatPosition::incarnation, HeartbeatPosition::sequence)
+}
+
 /** A worker's heartbeat with the status of its tasks. */
 data class Heartbeat(
     val machine: String,
@@ -52,4 +58,6 @@
     /** The time until the cloud preempts the machine, or null without a preemption notice. */
     val preemptionNotice: Duration?,
     val tasks: List<TaskStatus>,
-)
+) {
+    val position: HeartbeatPosition get() = HeartbeatPosition(incarnation, sequence)
+}
--- a/src/test/kotlin/glenspool/core/LargeFleet.kt
+++ b/src/test/kotlin/glenspool/core/LargeFleet.kt
@@ -1,6 +1,7 @@
 package glenspool.core
 
 import glenspool.core.model.Heartbeat
+import glenspool.core.model.HeartbeatPosition
 import glenspool.core.model.JobRecord
 import glenspool.core.model.JobSpec
 import glenspool.core.model.ListedMachine
@@ -78,7 +79,11 @@
     }
 
     /** Delivers the answer of a machine to a probe. */
-    fun answerProbe(machine: String) = step { probeEnded(machine, heartbeat(machine)) }
+    fun answerProbe(machine: String) =
+        step {
+            val sentAfter = machines[machine]?.position ?: HeartbeatPosition(0, 0)
+            probeEnded(Probe(machine, machine, sentAfter), heartbeat(machine))
+        }
 
     fun sendHeartbeat(machine: String) = step { heartbeatReceived(heartbeat(machine)) }
 
--- a/src/test/kotlin/glenspool/simulation/SchedulerDriver.kt
+++ b/src/test/kotlin/glenspool/simulation/SchedulerDriver.kt
@@ -12,6 +12,7 @@
 import glenspool.core.model.Command
 import glenspool.core.model.ExitReason
 import glenspool.core.model.Heartbeat
+import glenspool.core.model.HeartbeatPosition
 import glenspool.core.model.JobRecord
 import glenspool.core.model.JobSpec
 import glenspool.core.model.ListedMachine
@@ -40,6 +41,12 @@
     protected var revision = 100L
     private val sequences = HashMap<String, Long>()
 
+    /** A probe of the machine, which was sent now, has ended. */
+    protected fun Scheduler.probeEnded(machine: String, heartbeat: Heartbeat?, wasSent: Boolean = true) {
+        val sentAfter = machines[machine]?.position ?: HeartbeatPosition(0, 0)
+        probeEnded(Probe(machine, "addr-$machine", sentAfter), heartbeat, wasSent)
+    }
+
     protected fun step(body: Scheduler.() -> Unit): List<Action> = core.step(now, now, body)
 
     /** Advances the time in ticks. Returns the actions of all ticks. */
--- a/src/test/kotlin/glenspool/simulation/WorkerRequests.kt
+++ b/src/test/kotlin/glenspool/simulation/WorkerRequests.kt
@@ -27,7 +27,7 @@
         context.after(context.networkDelay()) {
             val isAnswered = worker != null && worker.isReachable && context.now >= worker.unreachableUntil
             val heartbeat = if (isAnswered) worker.heartbeat() else null
-            leader.stepIfLeading(scheduler) { probeEnded(probe.machine, heartbeat) }
+            leader.stepIfLeading(scheduler) { probeEnded(probe, heartbeat) }
         }
     }
 
