A new leader stops orphans in its answer to a machine's first heartbeat

Cause: the leader answered a heartbeat without its token with no commands, so a task without a placement, such as one that a copy of a start began, went on until the next heartbeat. What a heartbeat does not show proves nothing there, but an attempt that it shows and that is not placed on that machine may not run there whatever else is true.

--- a/src/main/kotlin/glenspool/core/Scheduler.kt
+++ b/src/main/kotlin/glenspool/core/Scheduler.kt
@@ -183,7 +183,9 @@
     fun heartbeatReceived(heartbeat: Heartbeat): List<Command> {
         val machine =
             heartbeats.process(heartbeat, HeartbeatSource.WORKER) ?: return outdatedHeartbeatReceived(heartbeat)
-        return if (machine.isTrusted) heartbeatReplyCommands.commandsFor(machine) else emptyList()
+        if (machine.isTrusted) return heartbeatReplyCommands.commandsFor(machine)
+        // The worker has not seen this leader's token yet, but what is not placed there may not run there in any case.
+        return heartbeatReplyCommands.stopsOfMisplacedTasks(machine, heartbeat).also(context::countOrders)
     }
 
     private fun outdatedHeartbeatReceived(heartbeat: Heartbeat): List<Command> {
--- a/src/test/kotlin/glenspool/core/OrphanedTasksTest.kt
+++ b/src/test/kotlin/glenspool/core/OrphanedTasksTest.kt
@@ -4,6 +4,7 @@
 import glenspool.core.model.ExitReason
 import glenspool.core.model.Resources
 import glenspool.core.model.StopTask
+import glenspool.core.model.StoredPlacement
 import glenspool.core.model.TaskKey
 import glenspool.core.model.Team
 import glenspool.simulation.bigType
@@ -44,6 +45,18 @@
         assertEquals(listOf<Command>(StopTask(TaskKey("a", 0), 7, Duration.ZERO, StopCause.ORPHANED)), commands)
     }
 
+    /** Guards against a copy of a start that runs until the worker has shown a new leader's token (review/5). */
+    @Test
+    fun `an orphan is stopped in the answer to the first heartbeat, also without this leader's token`() {
+        registerMachines(2)
+        submit(job("a"), listOf(StoredPlacement(0, 9, "m2")), lastAttempt = 9)
+        val stop = StopTask(TaskKey("a", 0), 7, Duration.ZERO, StopCause.ORPHANED)
+        val (commands, _) = receiveHeartbeat(heartbeat("m1", listOf(runningTask("a", 0, 7)), token = 0))
+        assertEquals(listOf<Command>(stop), commands)
+        val (others, _) = receiveHeartbeat(heartbeat("m2", listOf(runningTask("a", 0, 9)), token = 0))
+        assertEquals(emptyList<Command>(), others)
+    }
+
     /** Guards against a team whose quota stays in use, and whose jobs then wait in vain, until another node leads. */
     @Test
     fun `an orphan whose job has ended no longer counts for its team once it is gone`() {
