--- a/src/main/kotlin/glenspool/core/FencingTokenAdvancer.kt
+++ b/src/main/kotlin/glenspool/core/FencingTokenAdvancer.kt
@@ -2,6 +2,7 @@
 
 import glenspool.core.cluster.CommandQueue
 import glenspool.core.cluster.StartFencing
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -20,7 +21,7 @@
     fun tick() {
         if (advancingFor != null) return
         val cause = cause() ?: return
-        if (isTooEarly(cause)) return
+        if (context.now - advancedAt < minInterval(cause)) return
         advancingFor = cause
         context.addAction(AdvanceFencingToken(cause))
     }
@@ -31,9 +32,9 @@
         return if (commands.hasStaleStart()) TokenAdvanceCause.UNANSWERED_START else own
     }
 
-    /** Each advance makes every worker send one more heartbeat, but a restarted worker must not wait for its token. */
-    private fun isTooEarly(cause: TokenAdvanceCause): Boolean =
-        cause != TokenAdvanceCause.RESTARTED_WORKER && context.now - advancedAt < context.config.lease / 2
+    /** Each advance makes every worker send one more heartbeat, but a restarted worker must get its token soon. */
+    private fun minInterval(cause: TokenAdvanceCause): Duration =
+        if (cause == TokenAdvanceCause.RESTARTED_WORKER) MIN_INTERVAL else context.config.lease / 2
 
     /** An advance has ended; [newToken] is null if it failed. */
     fun advanceEnded(newToken: Long?) {
@@ -47,6 +48,9 @@
     }
 
     private companion object {
+        /** Bounds the store's changes when many workers begin anew one after the other. */
+        val MIN_INTERVAL = 1.seconds
+
         /** Dates the last advance so far back that the first one is not delayed. */
         val INITIAL_ADVANCE_AGE = 1000.seconds
     }
