--- a/src/test/kotlin/glenspool/core/StoredPlacementsTest.kt
+++ b/src/test/kotlin/glenspool/core/StoredPlacementsTest.kt
@@ -83,12 +83,13 @@
 
         private fun playStep() {
             if (inFlight != null && random.nextInt(3) > 0) endTransaction()
-            when (random.nextInt(12)) {
+            when (random.nextInt(13)) {
                 in 0..3 -> repeat(minOf(1 + random.nextInt(30), MAX_MACHINES - machineCount)) { addMachine() }
                 in 4..6 -> randomMachine()?.let(::sendHeartbeat)
                 in 7..8 -> randomMachine()?.let { endTasks(it, ExitReason.STOPPED) }
                 9 -> randomMachine()?.let { endTasks(it, ExitReason.DONE) }
                 10 -> if (random.nextInt(4) == 0) randomMachine()?.let(::loseMachine)
+                11 -> if (random.nextInt(8) == 0) perform(step { setSplittingForbidden(random.nextBoolean()) })
                 else -> if (lateTransactions.isNotEmpty()) applyLate(lateTransactions.removeAt(0))
             }
         }
