--- a/src/main/kotlin/glenspool/core/cluster/CancelledWorkDeadline.kt
+++ b/src/main/kotlin/glenspool/core/cluster/CancelledWorkDeadline.kt
@@ -60,10 +60,10 @@
         return OverdueMachine(machine.id, machine.addr, cancelledJobsOn(machine), elapsed)
     }
 
-    private fun wasReportedRecently(machine: Machine, at: Duration) =
-        reportedAt[machine.id].let {
-            it != null && at - it < REPORT_INTERVAL
-        }
+    private fun wasReportedRecently(machine: Machine, at: Duration): Boolean {
+        val lastReportAt = reportedAt[machine.id] ?: return false
+        return at - lastReportAt < REPORT_INTERVAL
+    }
 
     private fun cancelledJobsOn(machine: Machine): Set<String> {
         val jobs = machine.placements.values.map { it.job } + machine.orphans.keys.mapNotNull { cluster.jobs[it.job] }
--- a/src/main/kotlin/glenspool/core/lifecycle/Job.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/Job.kt
@@ -261,15 +261,10 @@
     fun hasWaitingTask(): Boolean = waitingTasks(1).isNotEmpty()
 
     /** Returns the number of tasks that wait to be placed. Orphaned tasks count as waiting. */
-    fun waitingTaskCount(): Int =
-        if (isCancelled ||
-            isFinished ||
-            waitsForDependencies
-        ) {
-            0
-        } else {
-            spec.tasks - doneCount - placedNotDone
-        }
+    fun waitingTaskCount(): Int {
+        if (isCancelled || isFinished || waitsForDependencies) return 0
+        return spec.tasks - doneCount - placedNotDone
+    }
 
     /** Returns the record to be stored for the job. */
     fun record() =
--- a/src/test/kotlin/glenspool/controller/FailedCallTest.kt
+++ b/src/test/kotlin/glenspool/controller/FailedCallTest.kt
@@ -56,9 +56,15 @@
         StoreWriter(limits, leader.client, leader.cache, leader.leadership, UnmanagedFeatures { true }) { _, _ -> }
     private val cloud = CloudClient(leader.storeAddress, HttpClient(2.seconds), 1000.0)
     private val executor =
-        ActionExecutor(leader.leadership, leader.client, cloud, workers, writer, 1.seconds, {
-            false
-        }) { events.add(it) }
+        ActionExecutor(
+            leader.leadership,
+            leader.client,
+            cloud,
+            workers,
+            writer,
+            resignBackoff = 1.seconds,
+            isCancelled = { false },
+        ) { events.add(it) }
 
     @AfterEach
     fun close() {
--- a/src/test/kotlin/glenspool/frozen/FrozenDecisionsTest.kt
+++ b/src/test/kotlin/glenspool/frozen/FrozenDecisionsTest.kt
@@ -215,19 +215,12 @@
         val running = HashMap<String, HashMap<TaskKey, TaskStatus>>()
         val sequences = HashMap<String, Long>()
 
-        fun heartbeat(machine: String) =
-            Heartbeat(
-                machine, "addr-$machine", "big",
-                if (machine.length % 2 ==
-                    0
-                ) {
-                    "a"
-                } else {
-                    "b"
-                },
-                false, 1, sequences.merge(machine, 1, Long::plus) ?: 1, 5, null,
-                running[machine]?.values?.toList().orEmpty(),
-            )
+        fun heartbeat(machine: String): Heartbeat {
+            val zone = if (machine.length % 2 == 0) "a" else "b"
+            val sequence = sequences.merge(machine, 1, Long::plus) ?: 1
+            val tasks = running[machine]?.values?.toList().orEmpty()
+            return Heartbeat(machine, "addr-$machine", "big", zone, false, 1, sequence, 5, null, tasks)
+        }
 
         fun step(event: Scheduler.() -> Unit) {
             val pendingActions = ArrayDeque(core.step(now, now, event))
@@ -235,33 +228,25 @@
                 val action = pendingActions.removeFirst()
                 trace.addAction(now, action) { transactionOf(1, it) }
                 if (action is StoreChanges) {
-                    pendingActions
-                        .addAll(core.step(now, now) { transactionEnded(StoreOutcome.Stored(++revision)) })
+                    pendingActions += core.step(now, now) { transactionEnded(StoreOutcome.Stored(++revision)) }
                 }
                 if (action !is SendCommands) continue
                 for (start in action.commands.filterIsInstance<StartTask>()) {
                     running.getOrPut(action.machine) { HashMap() }[start.key] =
                         TaskStatus(start.key, start.attempt, TaskState.RUNNING, null, false)
                 }
-                pendingActions
-                    .addAll(
-                        core.step(now, now) {
-                            commandsEnded(action.machine, action, CommandOutcome.DONE, heartbeat(action.machine))
-                        },
-                    )
+                pendingActions +=
+                    core.step(now, now) {
+                        commandsEnded(action.machine, action, CommandOutcome.DONE, heartbeat(action.machine))
+                    }
             }
         }
         step { machineTypesRead(listOf(bigType)) }
         for (number in 1..400) {
-            val spec =
-                job(
-                    "j$number", tasks = 16, resourceRequest = Resources(4.0, 1.0, 16.0), image = "i${number % 7}",
-                    priority =
-                        Priority.entries[
-                            number %
-                                2,
-                        ],
-                )
+            val priority = Priority.entries[number % 2]
+            val request = Resources(4.0, 1.0, 16.0)
+            val image = "i${number % 7}"
+            val spec = job("j$number", tasks = 16, resourceRequest = request, image = image, priority = priority)
             step { jobRecordRead(JobRecord(spec, now, 0, BitSet(), emptyList()), ++revision) }
         }
         repeat(8) { turn ->
--- a/src/test/kotlin/glenspool/frozen/GoldenFile.kt
+++ b/src/test/kotlin/glenspool/frozen/GoldenFile.kt
@@ -25,10 +25,7 @@
                 "golden file $name has not been recorded; see CONTRIBUTING.md"
             }
         return resource.bufferedReader().useLines { lines ->
-            lines.associate {
-                it.substringBefore('\t') to
-                    it.substringAfter('\t')
-            }
+            lines.associate { it.substringBefore('\t') to it.substringAfter('\t') }
         }
     }
 
