Test: what a late copy begins on a restarted machine is stopped by the machine's first answer

A machine of an array, a gang or a service loses its session and its token, and copies of everything that it carried out arrive. On the old code the attempt of the array's task goes on for more than a heartbeat (case NONE fails); now no attempt that a copy began and that is not placed there outlasts the first answer, also where all controllers are back within a second or the leader changes. On the old code these two pass, since they allow for a second heartbeat.

--- a/src/test/kotlin/glenspool/faults/RepeatedStartsTest.kt
+++ b/src/test/kotlin/glenspool/faults/RepeatedStartsTest.kt
@@ -6,6 +6,7 @@
 import glenspool.simulation.ClusterSimulation
 import glenspool.simulation.FaultRates
 import glenspool.simulation.MachineFault
+import glenspool.simulation.TaskSlot
 import glenspool.simulation.job
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNotNull
@@ -137,6 +138,35 @@
         assertEquals(0, simulation.deliverCopiesAcrossRestarts())
     }
 
+    /**
+     * Guards against a task that runs unseen on a machine that was back within a moment (review/5). The copy itself can't
+     * be prevented there; the task has to be stopped by the answer to the machine's first heartbeat.
+     */
+    @ParameterizedTest
+    @EnumSource(names = ["NONE", "ALL_CONTROLLERS_BACK_WITHIN_A_SECOND", "LEADER_CHANGES_WITHIN_A_SECOND"])
+    fun `what a late copy begins on a machine that lost its token is stopped by its first answer`(
+        interruption: Interruption,
+    ) {
+        for (kind in JobKind.entries) {
+            val simulation = simulation(SEED, machines = 6)
+            // Fills all machines, so that none is returned.
+            simulation.submit(service("s", tasks = 18, team = "t0"))
+            simulation.submit(jobOf(kind, 300.seconds))
+            simulation.runFor(8.seconds)
+            val machine = simulation.failTasksOnOneMachine(JOB)
+            simulation.runFor(4.seconds)
+            simulation.restartMachine(machine)
+            assertTrue(simulation.deliverCopiesAcrossRestarts() > 0)
+            // The replicas of the service are placed on this machine, under the attempts that the copies name.
+            val begunByCopies = simulation.attemptsOn(machine).filter { it.job == JOB }.toSet()
+            interruption.apply(simulation)
+            // A heartbeat that is sent while nobody leads is lost.
+            val heartbeats = if (interruption == Interruption.NONE) 1 else 2
+            simulation.runFor(HEARTBEAT_INTERVAL * heartbeats + 1.seconds)
+            assertEquals(emptySet<TaskSlot>(), simulation.attemptsOn(machine) intersect begunByCopies, "$kind")
+        }
+    }
+
     private fun jobOf(kind: JobKind, estimatedDuration: Duration): JobSpec {
         val priority = if (kind == JobKind.SERVICE) Priority.CRITICAL else Priority.STANDARD
         return job(JOB, kind, tasks = 6, priority = priority, estimatedDuration = estimatedDuration)
@@ -165,5 +195,8 @@
     private companion object {
         const val JOB = "job"
         const val SEED = 1L
+
+        /** The longest time between two heartbeats of a worker, which sends one every 2 s give or take a quarter. */
+        val HEARTBEAT_INTERVAL = 2.5.seconds
     }
 }
--- a/src/test/kotlin/glenspool/simulation/ClusterSimulation.kt
+++ b/src/test/kotlin/glenspool/simulation/ClusterSimulation.kt
@@ -146,6 +146,9 @@
     /** Returns the tasks on a machine that have not ended. */
     fun tasksOn(machine: String): List<TaskKey> = fleet[machine]?.liveSlots().orEmpty().map { it.key }
 
+    /** Returns the attempts on a machine that have not ended. */
+    internal fun attemptsOn(machine: String): Set<TaskSlot> = fleet[machine]?.liveSlots().orEmpty().toSet()
+
     /** Adds a running task that no leader ordered. The worker knows [spec] even if the store has no record of it. */
     fun addOrphanedTask(machine: String, spec: JobSpec, task: Int, attempt: Long) {
         jobs.addUnrecorded(spec)
