--- a/src/main/kotlin/glenspool/core/Actions.kt
+++ b/src/main/kotlin/glenspool/core/Actions.kt
@@ -22,8 +22,8 @@
 }
 
 /**
- * Requests the status of its tasks from a machine. [sentAfter]: the position of its newest heartbeat at this time, which
- * the reply of the same worker process exceeds.
+ * Requests the status of its tasks from a machine. [sentAfter]: the position of its newest heartbeat at this time,
+ * which the reply of the same worker process exceeds.
  */
 data class Probe(val machine: String, val addr: String, val sentAfter: HeartbeatPosition) : Action
 
--- a/src/main/kotlin/glenspool/core/cluster/RestartedWorkers.kt
+++ b/src/main/kotlin/glenspool/core/cluster/RestartedWorkers.kt
@@ -9,15 +9,15 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Detects workers that began anew within their incarnation, as on a machine that stops and is back within a moment. Such
- * a worker has forgotten its tasks and its fencing token, so it executes a late copy of any start of that incarnation,
- * also of a task that runs elsewhere by now. Its heartbeats look older than those of the earlier process, and so does a
- * late copy of one of these. Only the reply to a request tells the two apart: it is newer than all that was known when
- * the request was sent, unless the worker began anew.
+ * Detects workers that began anew within their incarnation, as on a machine that stops and is back within a moment.
+ * Such a worker has forgotten its tasks and its fencing token, so it executes a late copy of any start of that
+ * incarnation, also of a task that runs elsewhere by now. Its heartbeats look older than those of the earlier process,
+ * and so does a late copy of one of these. Only the reply to a request tells the two apart: it is newer than all that
+ * was known when the request was sent, unless the worker began anew.
  *
- * The machine is deleted, since messages of both processes can't be ordered. Until it is gone, tasks that are not placed
- * there are stopped, and its worker gets a token that no earlier start has. That shortens the time in which a copy can
- * run a task; it does not exclude it.
+ * The machine is deleted, since messages of both processes can't be ordered. Until it is gone, tasks that are not
+ * placed there are stopped, and its worker gets a token that no earlier start has. That shortens the time in which a
+ * copy can run a task; it does not exclude it.
  */
 class RestartedWorkers(
     private val context: SchedulingContext,
--- a/src/main/kotlin/glenspool/core/lifecycle/PlacementParts.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/PlacementParts.kt
@@ -74,8 +74,8 @@
     }
 
     /**
-     * Moves placements out of a record that is too large. Not more than [maxParts] parts have to be stored together with
-     * the record after that, see [partsToStore].
+     * Moves placements out of a record that is too large. Not more than [maxParts] parts have to be stored together
+     * with the record after that, see [partsToStore].
      */
     fun shrinkRecord(placements: Collection<Placement>, maxParts: Int) {
         for (placement in placements) {
--- a/src/main/kotlin/glenspool/core/lifecycle/RecordWriteScheduler.kt
+++ b/src/main/kotlin/glenspool/core/lifecycle/RecordWriteScheduler.kt
@@ -169,7 +169,7 @@
         planned.filter { it.toStored() in stored }.forEach(::placementStored)
     }
 
-    /** The placements that the store holds after the write. Those of parts which the write left out are not among them. */
+    /** The placements that the write has stored, without those of parts that it left out. */
     private fun storedPlacements(write: UpdateJobRecord): Set<StoredPlacement> {
         val stored = HashSet(write.record.placements)
         for (part in write.parts.keys) stored.addAll(write.record.placementParts[part].orEmpty())
--- a/src/main/kotlin/glenspool/core/model/Heartbeat.kt
+++ b/src/main/kotlin/glenspool/core/model/Heartbeat.kt
@@ -36,7 +36,7 @@
     val checkpointed: Boolean,
 )
 
-/** Orders the messages of one worker process: the one with the higher [incarnation], then [sequence], is the newer one. */
+/** Orders the messages of one worker process by [incarnation], then by [sequence]; the higher one is newer. */
 data class HeartbeatPosition(val incarnation: Long, val sequence: Long) : Comparable<HeartbeatPosition> {
     override fun compareTo(other: HeartbeatPosition): Int =
         compareValuesBy(this, other, HeartbeatPosition::incarnation, HeartbeatPosition::sequence)
